--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# VENV may point to an existing environment that holds requirements.txt.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.requirements.stamp
+
+.PHONY: setup format lint types test demo measure load binary wire clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt requirements-run.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $@
+
+format: setup
+	$(PYTHON) -m black turmerictiller standins bench tests
+	$(PYTHON) -m ruff check --fix turmerictiller standins bench tests
+
+lint: setup
+	$(PYTHON) -m black --check turmerictiller standins bench tests
+	$(PYTHON) -m ruff check turmerictiller standins bench tests
+
+types: setup
+	$(PYTHON) -m mypy
+
+test: setup
+	$(PYTHON) -m pytest
+
+demo: setup
+	$(PYTHON) -m bench.demo
+
+measure: setup
+	$(PYTHON) -m bench.measure $(ARGS)
+
+load: setup
+	$(PYTHON) -m bench.load $(ARGS)
+
+binary: setup
+	rm -rf build/site
+	mkdir -p dist
+	$(PYTHON) -m pip install --quiet --no-deps --target build/site .
+	$(PYTHON) -m pip install --quiet --target build/site -r requirements-run.txt
+	$(PYTHON) -m shiv --site-packages build/site --compressed --root /dev/shm/turmerictiller \
+		-p '/usr/bin/env python3' -e turmerictiller.cmd.main:main -o dist/turmerictiller
+
+# Needs the thrift compiler 0.17 or newer; its output is committed.
+wire: turmerictiller/peers.thrift
+	thrift --gen py:slots,package_prefix=turmerictiller.wire. -out turmerictiller/wire $<
+
+clean:
+	rm -rf build dist
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring tools and the demo."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for upstreams, for tests, demos and measurements."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module per module of the package."""
--- /dev/null
+++ b/tests/reducing.py
@@ -0,0 +1,124 @@
+"""A reducer with small fakes around it, for tests in virtual time."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+from turmerictiller import effects, events
+from turmerictiller.config import load_settings
+from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.notes import seal_note
+from turmerictiller.reducer import reduce
+from turmerictiller.state import new_state
+from turmerictiller.util.canonical import snapshot_name
+
+E = TypeVar("E")
+
+
+def definitions(services: int = 2, servers: int = 3, **front: Any) -> dict[str, Any]:
+    """Return the definitions of one front over some services."""
+    names = [f"jobs-{number}" for number in range(services)]
+    return {
+        "services": [
+            {
+                "name": name,
+                "servers": [
+                    {
+                        "id": f"{name}-s{number}",
+                        "address": f"127.0.0.1:{20_000 + index * 100 + number}",
+                        "domain": ["plateau", "almadies", "pikine"][number % 3],
+                    }
+                    for number in range(servers)
+                ],
+                "slots": 3,
+                "connections": 30,
+                "open_ms": 6.0,
+            }
+            for index, name in enumerate(names)
+        ],
+        "fronts": [{"name": "booking", "services": names, "actions": ["pickup"], **front}],
+    }
+
+
+def first_note(**kwargs: Any) -> dict[str, Any]:
+    """Return the first note of a chain."""
+    added = DefinitionsModel.model_validate(definitions(**kwargs))
+    return seal_note(None, added, DefinitionsModel(), WithdrawnModel()).unwrap()
+
+
+def shard_map(services: int = 2, shards: int = 2) -> dict[str, tuple[str, ...]]:
+    """Return the shards of each service."""
+    return {
+        f"jobs-{index}": tuple(f"jobs-{index}/{number}" for number in range(shards))
+        for index in range(services)
+    }
+
+
+def snapshot(version: int, shards: dict[str, tuple[str, ...]]) -> str:
+    """Return the name of a snapshot."""
+    return snapshot_name(version, {name: list(items) for name, items in shards.items()})
+
+
+class Harness:
+    """One instance in virtual time; collects its effects."""
+
+    def __init__(self, **settings: Any) -> None:
+        values = {"instance_id": "e1", "failure_domain": "plateau", "incarnation": "a1", "seed": 1}
+        self.settings = load_settings({**values, **settings})
+        self.state = new_state(self.settings)
+        self.effects: list[effects.Effect] = []
+        self.at = 0.0
+
+    def send(self, event: events.Event) -> list[effects.Effect]:
+        """Reduce one event."""
+        new = reduce(self.state, event)
+        self.effects += new
+        return new
+
+    def advance(self, ms: float) -> list[effects.Effect]:
+        """Let time pass, delivering every tick that is asked for."""
+        end = self.at + ms
+        new: list[effects.Effect] = []
+        while (due := self.state.timers.next_at()) is not None and due <= end:
+            self.at = max(self.at, due)
+            new += self.send(events.Tick(self.at))
+        self.at = end
+        return new + self.send(events.Tick(self.at))
+
+    def take(self, kind: type[E]) -> list[E]:
+        """Remove and return the collected effects of one kind."""
+        found = [effect for effect in self.effects if isinstance(effect, kind)]
+        self.effects = [effect for effect in self.effects if not isinstance(effect, kind)]
+        return found
+
+    def start(self, version: int = 1, services: int = 2, **front: Any) -> str:
+        """Put a note in force, with all servers up and serving one snapshot."""
+        self.send(events.NoteSeen(self.at, "platform", first_note(services=services, **front)))
+        shards = shard_map(services)
+        name = snapshot(version, shards)
+        for server_id in list(self.state.servers_by_id):
+            status = events.UpstreamStatus(f"i-{server_id}", False, (name,))
+            self.send(events.HealthReported(self.at, server_id, status))
+        self.send(events.ShardMapSeen(self.at, next(iter(self.state.servers_by_id)), name, shards))
+        return name
+
+    def search(self, call_id: int, **kwargs: Any) -> list[effects.SendSearch]:
+        """Send a search and return its attempts."""
+        values = {"front": "booking", "query": "velvet", "deadline_ms": 500.0, **kwargs}
+        self.send(events.SearchArrived(self.at, call_id, **values))
+        return self.take(effects.SendSearch)
+
+    def answer(self, attempt: effects.SendSearch, hits: int = 2, **changes: Any) -> None:
+        """Answer an attempt with hits of every shard of its service."""
+        shards = self.state.shard_maps_by_snapshot[attempt.snapshot][attempt.service]
+        values = {
+            "snapshot": attempt.snapshot,
+            "shards": shards,
+            "hits": tuple(
+                events.Hit(1.0 / (number + 1), shard, f"{shard}#{number}")
+                for shard in shards
+                for number in range(hits)
+            ),
+            **changes,
+        }
+        self.send(events.AttemptAnswered(self.at, attempt.attempt_id, **values))
--- /dev/null
+++ b/turmerictiller/__main__.py
@@ -0,0 +1,8 @@
+"""Run the command line with ``python -m turmerictiller``."""
+
+from __future__ import annotations
+
+from turmerictiller.cmd.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/turmerictiller/attempts.py
@@ -0,0 +1,103 @@
+"""Calls to upstream servers on behalf of searches."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.effects import CancelAttempt, SendSearch
+from turmerictiller.routing import choose_server, observe_latency
+from turmerictiller.state import Attempt, Search, ServicePart, State
+
+if TYPE_CHECKING:
+    from turmerictiller.events import AttemptAnswered, AttemptFailed
+
+
+def start_attempt(state: State, search: Search, part: ServicePart, is_hedge: bool = False) -> bool:
+    """Send a part of a search to a server; return whether one had room."""
+    server = choose_server(state, part.service, search.snapshot, part.tried_server_ids)
+    if server is None:
+        return False
+    budget_ms = search.deadline_at - state.now - state.settings.return_margin_ms
+    attempt = new_attempt(state, search.call_id, part.service, server.id)
+    attempt.is_hedge = is_hedge
+    attempt.fingerprint = search.fingerprint
+    part.attempt_ids.append(attempt.id)
+    part.tried_server_ids.add(server.id)
+    state.out.append(
+        SendSearch(
+            attempt_id=attempt.id,
+            wire_id=wire_id(state, attempt.id),
+            server_id=server.id,
+            address=server.address,
+            service=part.service,
+            snapshot=search.snapshot,
+            query=search.query,
+            k=search.k,
+            after=search.after,
+            budget_ms=budget_ms,
+            timeout_ms=search.deadline_at - state.now,
+        )
+    )
+    return True
+
+
+def new_attempt(state: State, call_id: int, service: str, server_id: str) -> Attempt:
+    """Register a call to a server."""
+    attempt = Attempt(state.next_attempt_id, call_id, service, server_id, state.now)
+    state.next_attempt_id += 1
+    state.attempts_by_id[attempt.id] = attempt
+    state.servers_by_id[server_id].attempt_ids[attempt.id] = state.now
+    state.counters["attempts.sent"] += 1
+    return attempt
+
+
+def wire_id(state: State, attempt_id: int) -> str:
+    """Return an identifier of an attempt that no other incarnation uses."""
+    return f"{state.settings.incarnation}-{attempt_id}"
+
+
+def close_attempt(state: State, attempt_id: int) -> Attempt | None:
+    """Forget an attempt; whatever arrives for it later is dropped."""
+    attempt = state.attempts_by_id.pop(attempt_id, None)
+    if attempt is None:
+        state.counters["attempts.late"] += 1
+        return None
+    server = state.servers_by_id.get(attempt.server_id)
+    if server is not None:
+        server.attempt_ids.pop(attempt_id, None)
+    return attempt
+
+
+def cancel_attempts(state: State, part: ServicePart) -> None:
+    """Cancel the attempts of a part that are still running."""
+    for attempt_id in part.attempt_ids:
+        if attempt_id in state.attempts_by_id:
+            close_attempt(state, attempt_id)
+            state.out.append(CancelAttempt(attempt_id))
+    part.attempt_ids.clear()
+
+
+def observe_answer(state: State, attempt: Attempt) -> None:
+    """Learn from an attempt that was answered."""
+    server = state.servers_by_id.get(attempt.server_id)
+    if server is None:
+        return
+    observe_latency(server, state.now - attempt.sent_at)
+    server.failures_in_row = 0
+    server.last_answered_sent_at = max(server.last_answered_sent_at, attempt.sent_at)
+
+
+def observe_failure(state: State, attempt: Attempt, event: AttemptFailed) -> None:
+    """Learn from an attempt that failed."""
+    state.counters[f"attempts.failed.{event.kind.value}"] += 1
+    server = state.servers_by_id.get(attempt.server_id)
+    if server is not None:
+        server.failures_in_row += 1
+
+
+def is_valid_answer(search: Search, part: ServicePart, event: AttemptAnswered) -> bool:
+    """Return whether an answer is of the search's snapshot and holds only the part's shards."""
+    if event.snapshot != search.snapshot:
+        return False
+    shards = set(event.shards)
+    return shards <= set(part.shards) and all(hit.shard in shards for hit in event.hits)
--- /dev/null
+++ b/turmerictiller/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of turmerictiller, one module per command."""
--- /dev/null
+++ b/turmerictiller/effects.py
@@ -0,0 +1,239 @@
+"""Effects: everything that the reducer asks the shell to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from turmerictiller.clock import Millis
+from turmerictiller.errors import Refusal
+from turmerictiller.events import Hit
+
+
+@dataclass(frozen=True, slots=True)
+class SendSearch:
+    """Send one search attempt to one server.
+
+    :param wire_id: identifier of the attempt that never recurs across incarnations.
+    :param budget_ms: time within which the answer is of use, less the way back.
+    :param timeout_ms: time after which the shell reports the attempt as timed out.
+    """
+
+    attempt_id: int
+    wire_id: str
+    server_id: str
+    address: str
+    service: str
+    snapshot: str
+    query: str
+    k: int
+    after: tuple[float, str, str] | None
+    budget_ms: float
+    timeout_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class SendRun:
+    """Send one non-idempotent request to one server, once."""
+
+    attempt_id: int
+    wire_id: str
+    server_id: str
+    address: str
+    service: str
+    action: str
+    body: dict[str, Any]
+    budget_ms: float
+    timeout_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Cancel an attempt whose answer is no longer of use, and close its connection."""
+
+    attempt_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class MissingShard:
+    """A shard that is not in an answer, with the reason."""
+
+    shard: str
+    service: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Coverage:
+    """Share of the front's shards that an answer holds.
+
+    :param total: shards of the front in the shard map of the answer's snapshot.
+    """
+
+    merged: int
+    total: int
+    missing: tuple[MissingShard, ...]
+
+    @property
+    def share(self) -> float:
+        return self.merged / self.total if self.total else 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReplySearch:
+    """Answer a search."""
+
+    call_id: int
+    hits: tuple[Hit, ...]
+    snapshot: str
+    coverage: Coverage
+    cursor: str | None
+    took_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyRefusal:
+    """Refuse a call of a caller."""
+
+    call_id: int
+    refusal: Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyTicket:
+    """Answer a ticket request."""
+
+    call_id: int
+    ticket: str
+    expires_in_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyOutcome:
+    """Answer a run request.
+
+    :param outcome: ``done``, ``not_run`` or ``unknown``.
+    """
+
+    call_id: int
+    outcome: str
+    answer: dict[str, Any]
+    reason: str = ""
+    retry_after_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardRun:
+    """Hand a run request to the owner of its ticket."""
+
+    call_id: int
+    address: str
+    incarnation: str
+    front: str
+    ticket: str
+    action: str
+    body: dict[str, Any]
+    budget_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerForward:
+    """Answer a run request that a peer handed on."""
+
+    forward_id: int
+    outcome: str
+    answer: dict[str, Any]
+    reason: str = ""
+    retry_after_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SendGossip:
+    """Send a gossip message to a peer."""
+
+    address: str
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class FetchNote:
+    """Fetch the note in force from a peer."""
+
+    peer_id: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PollHealth:
+    """Ask a server for its status."""
+
+    server_id: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class FetchShardMap:
+    """Ask a server for the shard map of a snapshot."""
+
+    server_id: str
+    address: str
+    snapshot: str
+
+
+@dataclass(frozen=True, slots=True)
+class ResetConnections:
+    """Close the idle connections to a server."""
+
+    server_id: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class CloseListeners:
+    """Stop accepting connections from callers."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """End the process."""
+
+
+@dataclass(frozen=True, slots=True)
+class WakeAt:
+    """Deliver a ``Tick`` at the given time; replaces an earlier request."""
+
+    at: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class WriteLog:
+    """Write one log message.
+
+    :param part: prefix of the part that speaks, such as ``search``.
+    """
+
+    part: str
+    message: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+Effect = (
+    SendSearch
+    | SendRun
+    | CancelAttempt
+    | ReplySearch
+    | ReplyRefusal
+    | ReplyTicket
+    | ReplyOutcome
+    | ForwardRun
+    | AnswerForward
+    | SendGossip
+    | FetchNote
+    | PollHealth
+    | FetchShardMap
+    | ResetConnections
+    | CloseListeners
+    | Stop
+    | WakeAt
+    | WriteLog
+)
--- /dev/null
+++ b/turmerictiller/errors.py
@@ -0,0 +1,105 @@
+"""Error hierarchy and typed refusals."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class TurmericError(Exception):
+    """Base of all errors that this package raises."""
+
+
+class ConfigError(TurmericError):
+    """Settings that do not pass their checks.
+
+    :param problems: one line per mistake, each starting with the setting's name.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class FrameError(TurmericError):
+    """A peer frame that is malformed, oversized or of another protocol version."""
+
+
+class CursorError(TurmericError):
+    """A paging cursor that this system did not issue."""
+
+
+class TraceError(TurmericError):
+    """A trace file that can not be read or replayed."""
+
+
+class RefusalType(Enum):
+    """Reasons for which a call is refused. The value is the name on the wire."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_FRONT = "unknown_front"
+    UNKNOWN_ACTION = "unknown_action"
+    BAD_CURSOR = "bad_cursor"
+    NO_NOTE = "no_note"
+    NO_SNAPSHOT = "no_snapshot"
+    OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
+    COVERAGE_BELOW_FLOOR = "coverage_below_floor"
+    SHUTTING_DOWN = "shutting_down"
+    TICKET_REQUIRED = "ticket_required"
+    BAD_TICKET = "bad_ticket"
+    TICKET_EXPIRED = "ticket_expired"
+    TICKET_BODY_MISMATCH = "ticket_body_mismatch"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    TIMED_OUT_READING = "timed_out_reading"
+    INTERNAL = "internal"
+
+
+HTTP_STATUS_BY_REFUSAL: dict[RefusalType, int] = {
+    RefusalType.BAD_REQUEST: 400,
+    RefusalType.BODY_TOO_LARGE: 413,
+    RefusalType.UNKNOWN_FRONT: 404,
+    RefusalType.UNKNOWN_ACTION: 404,
+    RefusalType.BAD_CURSOR: 400,
+    RefusalType.NO_NOTE: 503,
+    RefusalType.NO_SNAPSHOT: 503,
+    RefusalType.OVERLOADED: 429,
+    RefusalType.QUARANTINED: 422,
+    RefusalType.COVERAGE_BELOW_FLOOR: 504,
+    RefusalType.SHUTTING_DOWN: 503,
+    RefusalType.TICKET_REQUIRED: 428,
+    RefusalType.BAD_TICKET: 400,
+    RefusalType.TICKET_EXPIRED: 410,
+    RefusalType.TICKET_BODY_MISMATCH: 409,
+    RefusalType.NOT_FOUND: 404,
+    RefusalType.METHOD_NOT_ALLOWED: 405,
+    RefusalType.TIMED_OUT_READING: 408,
+    RefusalType.INTERNAL: 500,
+}
+
+
+class Ran(Enum):
+    """Whether the refused call reached an upstream."""
+
+    NO = "no"
+    MAYBE = "maybe"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A typed refusal of one call.
+
+    :param retry_after_ms: when to come back; ``None`` when repeating can not help.
+    """
+
+    type: RefusalType
+    message: str
+    ran: Ran = Ran.NO
+    retry_after_ms: int | None = None
+    details: dict[str, object] = field(default_factory=dict)
+
+    @property
+    def http_status(self) -> int:
+        return HTTP_STATUS_BY_REFUSAL[self.type]
--- /dev/null
+++ b/turmerictiller/events.py
@@ -0,0 +1,293 @@
+"""Events: everything that the reducer learns from outside.
+
+``at`` is monotonic time in milliseconds. Identifiers named ``call_id`` are drawn by the shell and
+name one call of a caller or peer; ``attempt_id`` is drawn by the reducer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from turmerictiller.clock import Millis
+
+
+class FailureKind(Enum):
+    """How a call to an upstream failed."""
+
+    UNSENT = "unsent"  # no byte of the request left this process
+    SHED = "shed"  # the upstream says that it did not run the request
+    DRAINING = "draining"  # as SHED, and the server takes no new work
+    SNAPSHOT_GONE = "snapshot_gone"
+    REJECTED = "rejected"  # the upstream ran into an error and answered it
+    LOST = "lost"  # the connection ended after a byte may have been sent
+    TIMED_OUT = "timed_out"
+    BAD_ANSWER = "bad_answer"
+
+
+@dataclass(frozen=True, slots=True)
+class Hit:
+    """One hit as an upstream returned it."""
+
+    score: float
+    shard: str
+    id: str
+    fields: dict[str, Any] = field(default_factory=dict, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamStatus:
+    """What a server says of itself; it may lag or be wrong.
+
+    :param load: share of slots in use, 0 when unknown.
+    :param age_ms: age of the load figure.
+    """
+
+    incarnation: str
+    draining: bool
+    snapshots: tuple[str, ...]
+    load: float = 0.0
+    age_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed; due timers run."""
+
+    at: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class SearchArrived:
+    """A caller asks for a search.
+
+    :param deadline_ms: time from arrival within which the caller wants its answer.
+    """
+
+    at: Millis
+    call_id: int
+    front: str
+    query: str
+    k: int | None = None
+    deadline_ms: float | None = None
+    priority: str | None = None
+    cursor: str | None = None
+    caller: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """A caller closed its connection before its answer."""
+
+    at: Millis
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptAnswered:
+    """An upstream answered a search attempt."""
+
+    at: Millis
+    attempt_id: int
+    snapshot: str
+    shards: tuple[str, ...]
+    hits: tuple[Hit, ...]
+    status: UpstreamStatus | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RunAnswered:
+    """An upstream ran a non-idempotent request and answered."""
+
+    at: Millis
+    attempt_id: int
+    answer: dict[str, Any]
+    status: UpstreamStatus | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """A call to an upstream failed."""
+
+    at: Millis
+    attempt_id: int
+    kind: FailureKind
+    status: UpstreamStatus | None = None
+    retry_after_ms: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TicketRequested:
+    """A caller asks for a ticket."""
+
+    at: Millis
+    call_id: int
+    front: str
+
+
+@dataclass(frozen=True, slots=True)
+class RunArrived:
+    """A caller asks to run a non-idempotent request under a ticket."""
+
+    at: Millis
+    call_id: int
+    front: str
+    ticket: str
+    action: str
+    body: dict[str, Any]
+    deadline_ms: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RunForwarded:
+    """A peer hands on a run request whose ticket names this instance.
+
+    :param forward_id: names the peer's call; drawn by the shell.
+    """
+
+    at: Millis
+    forward_id: int
+    incarnation: str
+    front: str
+    ticket: str
+    action: str
+    body: dict[str, Any]
+    deadline_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardAnswered:
+    """The owner of a ticket answered a forwarded run request."""
+
+    at: Millis
+    call_id: int
+    outcome: str
+    answer: dict[str, Any]
+    reason: str = ""
+    retry_after_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardFailed:
+    """The owner of a ticket could not be reached or did not answer in time."""
+
+    at: Millis
+    call_id: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class NoteSeen:
+    """A release note was read from the platform or from a peer.
+
+    :param source: ``platform`` or the peer's instance id.
+    """
+
+    at: Millis
+    source: str
+    document: Any
+
+
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """One row of the platform's instance list."""
+
+    id: str
+    kind: str  # "entry" or "upstream"
+    address: str
+    domain: str
+    leaving: bool
+    incarnation: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceListSeen:
+    """The platform's instance list was read."""
+
+    at: Millis
+    revision: int
+    instances: tuple[ListedInstance, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformFailed:
+    """A call to the platform failed."""
+
+    at: Millis
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class GossipReceived:
+    """A gossip message of a peer arrived."""
+
+    at: Millis
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class PeerFailed:
+    """A peer could not be reached."""
+
+    at: Millis
+    address: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class HealthReported:
+    """A server answered a health poll."""
+
+    at: Millis
+    server_id: str
+    status: UpstreamStatus
+
+
+@dataclass(frozen=True, slots=True)
+class HealthFailed:
+    """A server did not answer a health poll."""
+
+    at: Millis
+    server_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ShardMapSeen:
+    """The shard map of a snapshot was read from a server."""
+
+    at: Millis
+    server_id: str
+    snapshot: str
+    shards_by_service: dict[str, tuple[str, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownRequested:
+    """The process was told to stop."""
+
+    at: Millis
+
+
+Event = (
+    Tick
+    | SearchArrived
+    | CallerGone
+    | AttemptAnswered
+    | RunAnswered
+    | AttemptFailed
+    | TicketRequested
+    | RunArrived
+    | RunForwarded
+    | ForwardAnswered
+    | ForwardFailed
+    | NoteSeen
+    | InstanceListSeen
+    | PlatformFailed
+    | GossipReceived
+    | PeerFailed
+    | HealthReported
+    | HealthFailed
+    | ShardMapSeen
+    | ShutdownRequested
+)
--- /dev/null
+++ b/turmerictiller/membership.py
@@ -0,0 +1,78 @@
+"""Upstream servers and peers: which exist, and which take work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.effects import PollHealth
+from turmerictiller.snapshot import request_missing_maps
+from turmerictiller.state import ServerState, ServiceState, State, TimerKind
+
+if TYPE_CHECKING:
+    from turmerictiller.events import HealthFailed, HealthReported, UpstreamStatus
+    from turmerictiller.fronts import Configuration, Server
+
+
+def install_configuration(state: State, configuration: Configuration) -> None:
+    """Make the servers of the state those of the configuration."""
+    wanted: dict[str, ServerState] = {}
+    services: dict[str, ServiceState] = {}
+    for service in configuration.services_by_name.values():
+        for server in service.servers_by_id.values():
+            wanted[server.id] = _keep_or_add(state, server, service.name)
+        kept = state.services_by_name.get(service.name)
+        service_state = kept or ServiceState(service.name, ())
+        service_state.server_ids = tuple(service.servers_by_id)
+        services[service.name] = service_state
+    state.servers_by_id = wanted
+    state.services_by_name = services
+
+
+def _keep_or_add(state: State, server: Server, service: str) -> ServerState:
+    known = state.servers_by_id.get(server.id)
+    if known is not None and known.address == server.address and known.service == service:
+        known.domain = server.domain
+        return known
+    added = ServerState(server.id, server.address, server.domain, service)
+    state.timers.add(state.now, TimerKind.HEALTH_POLL, server.id)
+    return added
+
+
+def on_health_poll(state: State, server_id: str) -> None:
+    """Poll a server unless its answers have told its status lately."""
+    server = state.servers_by_id.get(server_id)
+    if server is None:
+        return
+    interval = state.settings.health_interval_ms
+    state.timers.add(state.now + interval, TimerKind.HEALTH_POLL, server_id)
+    if state.now - server.status_at >= interval:
+        state.out.append(PollHealth(server.id, server.address))
+
+
+def on_health_reported(state: State, event: HealthReported) -> None:
+    """Take in the status of a server."""
+    observe_status(state, event.server_id, event.status)
+
+
+def on_health_failed(state: State, event: HealthFailed) -> None:
+    """Take a server that does not answer polls out of use."""
+    server = state.servers_by_id.get(event.server_id)
+    if server is not None and not server.attempt_ids:
+        server.reachable = False
+
+
+def observe_status(state: State, server_id: str, status: UpstreamStatus | None) -> None:
+    """Take in what a server says of itself."""
+    server = state.servers_by_id.get(server_id)
+    if server is None or status is None:
+        return
+    server.reachable = True
+    server.status_at = state.now
+    if server.incarnation != status.incarnation:
+        server.incarnation = status.incarnation
+        server.draining = False
+    server.draining = server.draining or status.draining
+    server.snapshots = status.snapshots
+    server.reported_load = status.load
+    server.reported_load_at = state.now - status.age_ms
+    request_missing_maps(state, server)
--- /dev/null
+++ b/turmerictiller/platform_client.py
@@ -0,0 +1,123 @@
+"""HTTP client towards the platform: one waiting watch per value."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import orjson
+
+from turmerictiller.events import (
+    Event,
+    InstanceListSeen,
+    ListedInstance,
+    NoteSeen,
+    PlatformFailed,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from turmerictiller.clock import Clock
+    from turmerictiller.config import Settings
+
+WATCH_MS = 30_000
+WATCH_SLACK_S = 5.0
+BACKOFF_FIRST_S = 0.25
+BACKOFF_LAST_S = 8.0
+
+
+class PlatformClient:
+    """Watches the release note and the instance list."""
+
+    def __init__(self, settings: Settings, clock: Clock, dispatch: Callable[[Event], None]) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._dispatch = dispatch
+        self._tasks: list[asyncio.Task[None]] = []
+        self._session: aiohttp.ClientSession | None = None
+        self._jitter = random.Random(settings.seed)
+
+    def start(self) -> None:
+        """Begin to watch, if a platform is set."""
+        if not self._settings.platform_address:
+            return
+        self._session = aiohttp.ClientSession()
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._watch("note", self._on_note)),
+            loop.create_task(self._watch("instances", self._on_instances)),
+        ]
+
+    async def close(self) -> None:
+        """Stop watching."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    async def _watch(self, key: str, on_value: Callable[[dict[str, Any]], None]) -> None:
+        revision = 0
+        backoff_s = BACKOFF_FIRST_S
+        while True:
+            answer = await self._read(key, revision)
+            if isinstance(answer, PlatformFailed):
+                self._dispatch(answer)
+                # Half of the wait is random, so that a fleet does not return all at once.
+                await asyncio.sleep(backoff_s * (0.5 + self._jitter.random() / 2))
+                backoff_s = min(backoff_s * 2, BACKOFF_LAST_S)
+                continue
+            backoff_s = BACKOFF_FIRST_S
+            if answer is not None and answer["revision"] != revision:
+                revision = answer["revision"]
+                on_value(answer)
+
+    async def _read(self, key: str, revision: int) -> dict[str, Any] | PlatformFailed | None:
+        assert self._session is not None
+        url = f"http://{self._settings.platform_address}/v1/{key}"
+        timeout = aiohttp.ClientTimeout(total=WATCH_MS / 1000 + WATCH_SLACK_S)
+        query = {"after": str(revision), "wait_ms": str(WATCH_MS)}
+        try:
+            async with self._session.get(url, params=query, timeout=timeout) as response:
+                if response.status == 204:
+                    return None
+                body = await response.content.read(2 * self._settings.max_note_bytes)
+                answer = orjson.loads(body)
+                if response.status != 200 or not isinstance(answer.get("revision"), int):
+                    return PlatformFailed(self._clock.now_ms(), f"status {response.status}")
+                return dict(answer)
+        except (
+            aiohttp.ClientError,
+            ConnectionError,
+            TimeoutError,
+            ValueError,
+            AttributeError,
+        ) as error:
+            return PlatformFailed(self._clock.now_ms(), type(error).__name__)
+
+    def _on_note(self, answer: dict[str, Any]) -> None:
+        self._dispatch(NoteSeen(self._clock.now_ms(), "platform", answer.get("value")))
+
+    def _on_instances(self, answer: dict[str, Any]) -> None:
+        rows = tuple(
+            row for item in answer.get("instances", []) if (row := parse_instance(item)) is not None
+        )
+        self._dispatch(InstanceListSeen(self._clock.now_ms(), answer["revision"], rows))
+
+
+def parse_instance(item: Any) -> ListedInstance | None:
+    """Return one row of the instance list, or ``None`` if it has the wrong form."""
+    match item:
+        case {
+            "id": str(id_),
+            "kind": "entry" | "upstream" as kind,
+            "address": str(address),
+            "domain": str(domain),
+            "state": "live" | "leaving" as state,
+        }:
+            incarnation = item.get("incarnation", "")
+            return ListedInstance(id_, kind, address, domain, state == "leaving", str(incarnation))
+    return None
--- /dev/null
+++ b/turmerictiller/searches.py
@@ -0,0 +1,268 @@
+"""Life of a search: check, scatter, gather, answer."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from turmerictiller.attempts import (
+    cancel_attempts,
+    close_attempt,
+    is_valid_answer,
+    observe_answer,
+    observe_failure,
+    start_attempt,
+)
+from turmerictiller.effects import ReplyRefusal, ReplySearch
+from turmerictiller.errors import CursorError, Ran, Refusal, RefusalType
+from turmerictiller.events import FailureKind
+from turmerictiller.fronts import Priority
+from turmerictiller.membership import observe_status
+from turmerictiller.merge import Cursor, decode_cursor, encode_cursor, hits_after, rank, top_k
+from turmerictiller.routing import servers_with
+from turmerictiller.snapshot import choose_snapshot, coverage_of, shards_of
+from turmerictiller.state import Search, ServicePart, State, TimerKind
+
+if TYPE_CHECKING:
+    from turmerictiller.events import AttemptAnswered, AttemptFailed, CallerGone, SearchArrived
+    from turmerictiller.fronts import Front
+
+RETRY_AFTER_MS = 200
+MAX_QUERY_CHARS = 4_096
+
+MISSING_REASON_BY_FAILURE = {
+    FailureKind.UNSENT: "unreachable",
+    FailureKind.SHED: "shed",
+    FailureKind.DRAINING: "shed",
+    FailureKind.SNAPSHOT_GONE: "version_gone",
+    FailureKind.REJECTED: "failed",
+    FailureKind.LOST: "crashed",
+    FailureKind.TIMED_OUT: "timed_out",
+    FailureKind.BAD_ANSWER: "failed",
+}
+
+
+def on_search_arrived(state: State, event: SearchArrived) -> None:
+    """Start a search, or refuse it."""
+    started = _prepare(state, event)
+    if isinstance(started, Refusal):
+        refuse(state, event.call_id, started)
+        return
+    state.searches_by_id[started.call_id] = started
+    state.counters["searches.started"] += 1
+    state.timers.add(started.deadline_at, TimerKind.SEARCH_DEADLINE, started.call_id)
+    _scatter(state, started)
+
+
+def refuse(state: State, call_id: int, refusal: Refusal) -> None:
+    """Answer a call with a refusal."""
+    state.counters[f"refusals.{refusal.type.value}"] += 1
+    state.out.append(ReplyRefusal(call_id, refusal))
+
+
+def fingerprint_of(front: str, query: str) -> str:
+    """Return what is the same for every repeat of a search."""
+    return hashlib.blake2b(f"{front}\0{query}".encode(), digest_size=12).hexdigest()
+
+
+def _prepare(state: State, event: SearchArrived) -> Search | Refusal:
+    if state.note is None:
+        return Refusal(RefusalType.NO_NOTE, "no release note is in force", Ran.NO, RETRY_AFTER_MS)
+    front = state.note.configuration.fronts_by_name.get(event.front)
+    if front is None:
+        return Refusal(RefusalType.UNKNOWN_FRONT, "there is no such search front")
+    problem = _check_bounds(front, event)
+    if problem:
+        return Refusal(RefusalType.BAD_REQUEST, problem)
+    if len(state.searches_by_id) >= state.settings.max_searches:
+        return Refusal(
+            RefusalType.OVERLOADED, "too many searches are in flight", Ran.NO, RETRY_AFTER_MS
+        )
+    return _new_search(state, front, event)
+
+
+def _check_bounds(front: Front, event: SearchArrived) -> str:
+    if not event.query or len(event.query) > MAX_QUERY_CHARS:
+        return f"query must have 1 to {MAX_QUERY_CHARS} characters"
+    if event.k is not None and not 1 <= event.k <= front.k_max:
+        return f"k must be from 1 to {front.k_max}"
+    if event.deadline_ms is not None and not 1 <= event.deadline_ms <= front.deadline_max_ms:
+        return f"deadline_ms must be from 1 to {front.deadline_max_ms:g}"
+    if event.priority is not None and event.priority not in [item.value for item in Priority]:
+        return "priority must be interactive or batch"
+    return ""
+
+
+def _new_search(state: State, front: Front, event: SearchArrived) -> Search | Refusal:
+    fingerprint = fingerprint_of(front.name, event.query)
+    cursor = None
+    if event.cursor is not None:
+        try:
+            cursor = decode_cursor(event.cursor)
+        except CursorError as error:
+            return Refusal(RefusalType.BAD_CURSOR, str(error))
+        if cursor.fingerprint != fingerprint:
+            return Refusal(RefusalType.BAD_CURSOR, "the cursor belongs to another search")
+    snapshot = cursor.snapshot if cursor else choose_snapshot(state, front)
+    if snapshot is None or snapshot not in state.shard_maps_by_snapshot:
+        return Refusal(
+            RefusalType.NO_SNAPSHOT, "no snapshot of the index is served", Ran.NO, RETRY_AFTER_MS
+        )
+    priority = front.priority if event.priority is None else Priority(event.priority)
+    if front.priority is Priority.BATCH:
+        priority = Priority.BATCH
+    search = Search(
+        call_id=event.call_id,
+        front=front,
+        query=event.query,
+        k=min(event.k or 10, front.k_max),
+        arrived_at=event.at,
+        deadline_at=event.at + (event.deadline_ms or front.deadline_default_ms),
+        priority=priority,
+        caller=event.caller,
+        snapshot=snapshot,
+        fingerprint=fingerprint,
+        after=cursor.after if cursor else None,
+    )
+    set_parts(state, search)
+    return search
+
+
+def set_parts(state: State, search: Search) -> None:
+    """Set the parts of a search from the shard map of its snapshot."""
+    shards = shards_of(state, search.snapshot, search.front.services_by_name)
+    search.parts_by_service = {
+        name: ServicePart(name, service_shards)
+        for name, service_shards in shards.items()
+        if service_shards
+    }
+
+
+def _scatter(state: State, search: Search) -> None:
+    for part in search.parts_by_service.values():
+        _start_or_resolve(state, search, part, "no_capacity")
+    _finish_if_resolved(state, search)
+
+
+def _start_or_resolve(state: State, search: Search, part: ServicePart, reason: str) -> None:
+    if start_attempt(state, search, part):
+        return
+    if not servers_with(state, part.service, search.snapshot):
+        reason = "unreachable"
+    part.missing_reason = reason
+    if not part.attempt_ids:
+        part.resolved = True
+
+
+def on_attempt_answered(state: State, event: AttemptAnswered) -> None:
+    """Merge the answer of an upstream into its search."""
+    attempt = close_attempt(state, event.attempt_id)
+    if attempt is None:
+        return
+    observe_answer(state, attempt)
+    observe_status(state, attempt.server_id, event.status)
+    search = state.searches_by_id.get(attempt.call_id)
+    if search is None:
+        return
+    part = search.parts_by_service[attempt.service]
+    part.attempt_ids.remove(attempt.id)
+    if not is_valid_answer(search, part, event):
+        state.counters["attempts.wrong_snapshot"] += 1
+        _retry_part(state, search, part, "failed")
+        _finish_if_resolved(state, search)
+        return
+    _merge(search, part, event)
+    cancel_attempts(state, part)
+    _finish_if_resolved(state, search)
+
+
+def _merge(search: Search, part: ServicePart, event: AttemptAnswered) -> None:
+    part.resolved = True
+    part.merged_shards = frozenset(event.shards)
+    part.missing_reason = "failed"
+    fresh = hits_after(event.hits, search.after)
+    search.hits = top_k([*search.hits, *fresh], search.k)
+
+
+def on_attempt_failed(state: State, event: AttemptFailed) -> None:
+    """Retry a failed attempt elsewhere, or give up its shards."""
+    attempt = close_attempt(state, event.attempt_id)
+    if attempt is None:
+        return
+    observe_failure(state, attempt, event)
+    observe_status(state, attempt.server_id, event.status)
+    search = state.searches_by_id.get(attempt.call_id)
+    if search is None:
+        return
+    part = search.parts_by_service[attempt.service]
+    part.attempt_ids.remove(attempt.id)
+    _retry_part(state, search, part, MISSING_REASON_BY_FAILURE[event.kind])
+    _finish_if_resolved(state, search)
+
+
+def _retry_part(state: State, search: Search, part: ServicePart, reason: str) -> None:
+    part.missing_reason = reason
+    if part.attempt_ids:
+        return
+    _start_or_resolve(state, search, part, reason)
+
+
+def on_search_deadline(state: State, call_id: int) -> None:
+    """Answer a search whose time is over with what it has."""
+    search = state.searches_by_id.get(call_id)
+    if search is not None:
+        finish(state, search)
+
+
+def on_caller_gone(state: State, event: CallerGone) -> None:
+    """Drop the work of a caller that left."""
+    search = state.searches_by_id.pop(event.call_id, None)
+    if search is None:
+        return
+    state.counters["searches.caller_gone"] += 1
+    for part in search.parts_by_service.values():
+        cancel_attempts(state, part)
+
+
+def _finish_if_resolved(state: State, search: Search) -> None:
+    if search.call_id not in state.searches_by_id:
+        return
+    if all(part.resolved for part in search.parts_by_service.values()):
+        finish(state, search)
+
+
+def finish(state: State, search: Search) -> None:
+    """Answer a search and cancel what still runs for it."""
+    del state.searches_by_id[search.call_id]
+    coverage = coverage_of(search)
+    for part in search.parts_by_service.values():
+        cancel_attempts(state, part)
+    if coverage.merged == 0 or coverage.share < search.front.coverage_floor:
+        refuse(
+            state,
+            search.call_id,
+            Refusal(
+                RefusalType.COVERAGE_BELOW_FLOOR,
+                f"{coverage.merged} of {coverage.total} shards answered in time",
+                Ran.MAYBE,
+                RETRY_AFTER_MS,
+            ),
+        )
+        return
+    state.counters["searches.answered"] += 1
+    state.out.append(
+        ReplySearch(
+            call_id=search.call_id,
+            hits=tuple(search.hits),
+            snapshot=search.snapshot,
+            coverage=coverage,
+            cursor=_next_cursor(search),
+            took_ms=state.now - search.arrived_at,
+        )
+    )
+
+
+def _next_cursor(search: Search) -> str | None:
+    if len(search.hits) < search.k:
+        return None
+    return encode_cursor(Cursor(search.snapshot, rank(search.hits[-1]), search.fingerprint))
--- /dev/null
+++ b/turmerictiller/snapshot.py
@@ -0,0 +1,111 @@
+"""Choice of the snapshot of a search, shard maps, and coverage."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.effects import Coverage, FetchShardMap, MissingShard
+from turmerictiller.util.canonical import snapshot_name
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from turmerictiller.events import ShardMapSeen
+    from turmerictiller.fronts import Front
+    from turmerictiller.state import Search, ServerState, State
+
+MAP_RETRY_MS = 500.0
+
+
+def version_of(snapshot: str) -> int:
+    """Return the index version of a snapshot's name, or -1 if it has none."""
+    head = snapshot.partition("-")[0]
+    return int(head) if head.isdecimal() else -1
+
+
+def on_shard_map_seen(state: State, event: ShardMapSeen) -> None:
+    """Keep a shard map whose digest is that of the snapshot's name."""
+    state.maps_requested_at.pop(event.snapshot, None)
+    lists = {name: list(shards) for name, shards in event.shards_by_service.items()}
+    if snapshot_name(version_of(event.snapshot), lists) != event.snapshot:
+        state.counters["shard_map.wrong_digest"] += 1
+        return
+    state.shard_maps_by_snapshot[event.snapshot] = {
+        name: tuple(sorted(shards)) for name, shards in lists.items()
+    }
+    _evict_old_maps(state)
+
+
+def request_missing_maps(state: State, server: ServerState) -> None:
+    """Ask the server for the shard maps that it names and this instance lacks."""
+    for snapshot in server.snapshots:
+        if snapshot in state.shard_maps_by_snapshot or version_of(snapshot) < 0:
+            continue
+        asked_at = state.maps_requested_at.get(snapshot)
+        if asked_at is not None and state.now - asked_at < MAP_RETRY_MS:
+            continue
+        if len(state.maps_requested_at) >= state.settings.max_snapshots:
+            state.maps_requested_at.pop(next(iter(state.maps_requested_at)))
+        state.maps_requested_at[snapshot] = state.now
+        state.out.append(FetchShardMap(server.id, server.address, snapshot))
+
+
+def _evict_old_maps(state: State) -> None:
+    maps = state.shard_maps_by_snapshot
+    while len(maps) > state.settings.max_snapshots:
+        del maps[min(maps, key=version_of)]
+
+
+def choose_snapshot(state: State, front: Front, newer_than: str | None = None) -> str | None:
+    """Return the newest snapshot that covers the most shards of the front, or ``None``.
+
+    A service counts if a server that takes work serves the snapshot.
+    """
+    served_by_service = {name: _snapshots_served(state, name) for name in front.services_by_name}
+    best: tuple[float, int, str] | None = None
+    for snapshot, shard_map in state.shard_maps_by_snapshot.items():
+        version = version_of(snapshot)
+        if newer_than is not None and version <= version_of(newer_than):
+            continue
+        total = sum(len(shard_map.get(name, ())) for name in front.services_by_name)
+        covered = sum(
+            len(shard_map.get(name, ()))
+            for name, served in served_by_service.items()
+            if snapshot in served
+        )
+        if covered == 0:
+            continue
+        candidate = (covered / total, version, snapshot)
+        if best is None or candidate > best:
+            best = candidate
+    return best[2] if best else None
+
+
+def _snapshots_served(state: State, service: str) -> set[str]:
+    service_state = state.services_by_name.get(service)
+    if service_state is None:
+        return set()
+    return {
+        snapshot
+        for server_id in service_state.server_ids
+        for snapshot in state.servers_by_id[server_id].snapshots
+        if state.servers_by_id[server_id].reachable and not state.servers_by_id[server_id].draining
+    }
+
+
+def shards_of(state: State, snapshot: str, services: Iterable[str]) -> dict[str, tuple[str, ...]]:
+    """Return the shards of each service in the shard map of the snapshot."""
+    shard_map = state.shard_maps_by_snapshot[snapshot]
+    return {name: shard_map.get(name, ()) for name in services}
+
+
+def coverage_of(search: Search) -> Coverage:
+    """Return the coverage of what a search has merged so far."""
+    missing = tuple(
+        MissingShard(shard, part.service, part.missing_reason)
+        for part in search.parts_by_service.values()
+        for shard in part.shards
+        if shard not in part.merged_shards
+    )
+    total = sum(len(part.shards) for part in search.parts_by_service.values())
+    return Coverage(merged=total - len(missing), total=total, missing=missing)
--- /dev/null
+++ b/turmerictiller/upstreams.py
@@ -0,0 +1,284 @@
+"""HTTP client towards upstream servers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import orjson
+
+from turmerictiller.events import (
+    AttemptAnswered,
+    AttemptFailed,
+    Event,
+    FailureKind,
+    HealthFailed,
+    HealthReported,
+    Hit,
+    RunAnswered,
+    ShardMapSeen,
+    UpstreamStatus,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from turmerictiller.clock import Clock
+    from turmerictiller.config import Settings
+    from turmerictiller.effects import (
+        FetchShardMap,
+        PollHealth,
+        SendRun,
+        SendSearch,
+    )
+
+KEEPALIVE_S = 15.0
+POLL_TIMEOUT_S = 1.0
+
+FAILURE_BY_ERROR = {
+    "shed": FailureKind.SHED,
+    "draining": FailureKind.DRAINING,
+    "snapshot_gone": FailureKind.SNAPSHOT_GONE,
+}
+
+
+class UpstreamClient:
+    """Calls upstream servers and reports what happened as events."""
+
+    def __init__(self, settings: Settings, clock: Clock, dispatch: Callable[[Event], None]) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._dispatch = dispatch
+        self._tasks_by_attempt: dict[int, asyncio.Task[None]] = {}
+        self._polls: set[asyncio.Task[None]] = set()
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+        self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        # A non-idempotent request gets a connection of its own: a kept one may have gone silent.
+        self._run_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True), auto_decompress=False
+        )
+
+    def send_search(self, effect: SendSearch) -> None:
+        """Start one search attempt."""
+        self._start(effect.attempt_id, self._search(effect))
+
+    def send_run(self, effect: SendRun) -> None:
+        """Start one non-idempotent request."""
+        self._start(effect.attempt_id, self._run(effect))
+
+    def cancel(self, attempt_id: int) -> None:
+        """Cancel an attempt; its connection is closed."""
+        task = self._tasks_by_attempt.pop(attempt_id, None)
+        if task is not None:
+            task.cancel()
+
+    def poll_health(self, effect: PollHealth) -> None:
+        """Ask a server for its status."""
+        self._poll(self._health(effect))
+
+    def fetch_shard_map(self, effect: FetchShardMap) -> None:
+        """Ask a server for a shard map."""
+        self._poll(self._shard_map(effect))
+
+    async def close(self) -> None:
+        """End all calls."""
+        tasks = [*self._tasks_by_attempt.values(), *self._polls]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._session.close()
+        await self._run_session.close()
+
+    def _start(self, attempt_id: int, call: Any) -> None:
+        task = asyncio.get_running_loop().create_task(call)
+        self._tasks_by_attempt[attempt_id] = task
+        task.add_done_callback(lambda _: self._tasks_by_attempt.pop(attempt_id, None))
+
+    def _poll(self, call: Any) -> None:
+        task = asyncio.get_running_loop().create_task(call)
+        self._polls.add(task)
+        task.add_done_callback(self._polls.discard)
+
+    async def _search(self, effect: SendSearch) -> None:
+        request = {
+            "id": effect.wire_id,
+            "service": effect.service,
+            "snapshot": effect.snapshot,
+            "query": effect.query,
+            "k": effect.k,
+            "after": effect.after,
+            "budget_ms": effect.budget_ms,
+        }
+        url = f"http://{effect.address}/search"
+        event = await self._post(self._session, url, request, effect.attempt_id, effect.timeout_ms)
+        if isinstance(event, AttemptFailed):
+            self._dispatch(event)
+            return
+        self._dispatch(parse_search_answer(self._clock.now_ms(), effect.attempt_id, event))
+
+    async def _run(self, effect: SendRun) -> None:
+        request = {
+            "id": effect.wire_id,
+            "service": effect.service,
+            "action": effect.action,
+            "body": effect.body,
+            "budget_ms": effect.budget_ms,
+        }
+        url = f"http://{effect.address}/run"
+        event = await self._post(
+            self._run_session, url, request, effect.attempt_id, effect.timeout_ms
+        )
+        if isinstance(event, AttemptFailed):
+            self._dispatch(event)
+            return
+        answer = event.get("answer")
+        self._dispatch(
+            RunAnswered(
+                self._clock.now_ms(),
+                effect.attempt_id,
+                answer if isinstance(answer, dict) else {},
+                parse_status(event.get("status")),
+            )
+        )
+
+    async def _post(
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        request: dict[str, Any],
+        attempt_id: int,
+        timeout_ms: float,
+    ) -> dict[str, Any] | AttemptFailed:
+        timeout = aiohttp.ClientTimeout(total=max(timeout_ms, 1) / 1000)
+        try:
+            # POST is never repeated by aiohttp itself, unlike GET on a kept connection.
+            async with session.post(
+                url,
+                data=orjson.dumps(request),
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await self._read(response)
+                answer = orjson.loads(body)
+                status = response.status
+        except aiohttp.ClientConnectorError:
+            return self._failed(attempt_id, FailureKind.UNSENT)
+        except TimeoutError:
+            return self._failed(attempt_id, FailureKind.TIMED_OUT)
+        except (aiohttp.ClientError, ConnectionError):
+            return self._failed(attempt_id, FailureKind.LOST)
+        except ValueError:
+            return self._failed(attempt_id, FailureKind.BAD_ANSWER)
+        if not isinstance(answer, dict):
+            return self._failed(attempt_id, FailureKind.BAD_ANSWER)
+        if status != 200:
+            return self._refused(attempt_id, answer)
+        return answer
+
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        limit = self._settings.max_answer_bytes
+        body = bytearray()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > limit:
+                response.close()
+                raise ValueError("answer is too large")
+        return bytes(body)
+
+    def _failed(self, attempt_id: int, kind: FailureKind) -> AttemptFailed:
+        return AttemptFailed(self._clock.now_ms(), attempt_id, kind)
+
+    def _refused(self, attempt_id: int, answer: dict[str, Any]) -> AttemptFailed:
+        kind = FAILURE_BY_ERROR.get(str(answer.get("error")), FailureKind.REJECTED)
+        if kind in (FailureKind.SHED, FailureKind.DRAINING) and answer.get("ran") is not False:
+            kind = FailureKind.REJECTED
+        retry_after_ms = answer.get("retry_after_ms")
+        return AttemptFailed(
+            self._clock.now_ms(),
+            attempt_id,
+            kind,
+            parse_status(answer.get("status")),
+            float(retry_after_ms) if isinstance(retry_after_ms, int | float) else None,
+        )
+
+    async def _health(self, effect: PollHealth) -> None:
+        answer = await self._get(f"http://{effect.address}/health")
+        status = parse_status(answer)
+        now = self._clock.now_ms()
+        if status is None:
+            self._dispatch(HealthFailed(now, effect.server_id))
+        else:
+            self._dispatch(HealthReported(now, effect.server_id, status))
+
+    async def _shard_map(self, effect: FetchShardMap) -> None:
+        answer = await self._get(f"http://{effect.address}/snapshots/{effect.snapshot}")
+        shards = parse_shard_map(answer)
+        if shards is not None:
+            self._dispatch(
+                ShardMapSeen(self._clock.now_ms(), effect.server_id, effect.snapshot, shards)
+            )
+
+    async def _get(self, url: str) -> Any:
+        timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
+        try:
+            async with self._session.get(url, timeout=timeout, allow_redirects=False) as response:
+                if response.status != 200:
+                    return None
+                return orjson.loads(await self._read(response))
+        except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError):
+            return None
+
+
+def parse_status(value: Any) -> UpstreamStatus | None:
+    """Return the status in an upstream's answer, or ``None`` if it has none of the right form."""
+    match value:
+        case {
+            "incarnation": str(incarnation),
+            "draining": bool(draining),
+            "snapshots": [*snapshots],
+        } if all(isinstance(item, str) for item in snapshots):
+            load = value.get("load", 0.0)
+            age_ms = value.get("age_ms", 0.0)
+            return UpstreamStatus(
+                incarnation=incarnation,
+                draining=draining,
+                snapshots=tuple(snapshots),
+                load=float(load) if isinstance(load, int | float) else 0.0,
+                age_ms=float(age_ms) if isinstance(age_ms, int | float) else 0.0,
+            )
+    return None
+
+
+def parse_shard_map(value: Any) -> dict[str, tuple[str, ...]] | None:
+    """Return the shards by service in an upstream's answer, or ``None``."""
+    if not isinstance(value, dict) or not isinstance(value.get("shards_by_service"), dict):
+        return None
+    shards_by_service = {}
+    for name, shards in value["shards_by_service"].items():
+        if not isinstance(shards, list) or not all(isinstance(item, str) for item in shards):
+            return None
+        shards_by_service[name] = tuple(shards)
+    return shards_by_service
+
+
+def parse_search_answer(
+    at: float, attempt_id: int, answer: dict[str, Any]
+) -> AttemptAnswered | AttemptFailed:
+    """Return the event for an upstream's answer to a search."""
+    try:
+        hits = tuple(
+            Hit(float(hit["score"]), str(hit["shard"]), str(hit["id"]), dict(hit.get("fields", {})))
+            for hit in answer["hits"]
+        )
+        return AttemptAnswered(
+            at=at,
+            attempt_id=attempt_id,
+            snapshot=str(answer["snapshot"]),
+            shards=tuple(str(shard) for shard in answer["shards"]),
+            hits=hits,
+            status=parse_status(answer.get("status")),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return AttemptFailed(at, attempt_id, FailureKind.BAD_ANSWER)
--- /dev/null
+++ b/turmerictiller/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several modules share."""
