Fix the type of merged definitions in release notes

Cause: mypy rejects a list built from two lists of a constrained type variable, so the type check of a fresh clone failed. Ruled out: an ignore comment, because the code can be written without mixing the two lists. Change: two dictionary updates instead of one over a joined list.

--- a/turmerictiller/notes.py
+++ b/turmerictiller/notes.py
@@ -336,7 +336,8 @@
     for index, name in enumerate(withdrawn):
         if name not in by_name:
             errors.append(_unknown(f"withdrawn.{kind}.{index}", kind[:-1], name))
-    by_name.update((definition.name, definition) for definition in [*added, *changed])
+    by_name.update({item.name: item for item in added})
+    by_name.update({item.name: item for item in changed})
     for name in withdrawn:
         by_name.pop(name, None)
     return list(by_name.values()), errors
