--- a/tests/reducing.py
+++ b/tests/reducing.py
@@ -91,9 +91,13 @@
         self.effects = [effect for effect in self.effects if not isinstance(effect, kind)]
         return found
 
-    def start(self, version: int = 1, services: int = 2, **front: Any) -> str:
+    def start(self, version: int = 1, services: int = 2, servers: int = 3, **front: Any) -> str:
         """Put a note in force, with all servers up and serving one snapshot."""
-        self.send(events.NoteSeen(self.at, "platform", first_note(services=services, **front)))
+        self.send(
+            events.NoteSeen(
+                self.at, "platform", first_note(services=services, servers=servers, **front)
+            )
+        )
         shards = shard_map(services)
         name = snapshot(version, shards)
         for server_id in list(self.state.servers_by_id):
@@ -108,7 +112,7 @@
         self.send(events.SearchArrived(self.at, call_id, **values))
         return self.take(effects.SendSearch)
 
-    def answer(self, attempt: effects.SendSearch, hits: int = 2, **changes: Any) -> None:
+    def answer(self, attempt: effects.SendSearch, hits_per_shard: int = 2, **changes: Any) -> None:
         """Answer an attempt with hits of every shard of its service."""
         shards = self.state.shard_maps_by_snapshot[attempt.snapshot][attempt.service]
         values = {
@@ -117,7 +121,7 @@
             "hits": tuple(
                 events.Hit(1.0 / (number + 1), shard, f"{shard}#{number}")
                 for shard in shards
-                for number in range(hits)
+                for number in range(hits_per_shard)
             ),
             **changes,
         }
--- /dev/null
+++ b/tests/test_pauses.py
@@ -0,0 +1,64 @@
+"""Tests of the detection of pauses."""
+
+from __future__ import annotations
+
+from tests.reducing import Harness
+from turmerictiller import effects, events
+
+PAUSE_MS = 5_000.0
+
+
+def test_quiet_instance_is_not_taken_for_paused() -> None:
+    """Guards against an idle night that looks like a pause."""
+    harness = Harness()
+    harness.start()
+    harness.advance(10 * PAUSE_MS)
+    assert harness.state.counters["pauses"] == 0
+
+
+def test_pause_is_not_charged_to_servers() -> None:
+    """Guards against latency estimates that contain the time of a pause."""
+    harness = Harness()
+    harness.start()
+    harness.advance(1_000)
+    attempts = harness.search(1, deadline_ms=5_000.0)
+    harness.at += PAUSE_MS - 1_000
+    for attempt in attempts:
+        harness.answer(attempt)
+    assert harness.state.counters["pauses"] == 1
+    assert all(server.samples == 0 for server in harness.state.servers_by_id.values())
+
+
+def test_overdue_search_is_answered_at_once_after_a_pause() -> None:
+    """Guards against a resumed process that goes on with work nobody waits for."""
+    harness = Harness()
+    harness.start()
+    first, _ = harness.search(1)
+    harness.answer(first)
+    harness.at += PAUSE_MS
+    harness.send(events.Tick(harness.at))
+    (reply,) = harness.take(effects.ReplySearch)
+    assert reply.coverage.merged == 2
+    assert harness.state.attempts_by_id == {}
+
+
+def test_status_is_asked_again_after_a_pause() -> None:
+    """Guards against a resumed process that trusts what it knew before."""
+    harness = Harness()
+    harness.start()
+    harness.advance(500)
+    harness.take(effects.PollHealth)
+    harness.at += PAUSE_MS
+    harness.send(events.Tick(harness.at))
+    polled = {effect.server_id for effect in harness.take(effects.PollHealth)}
+    assert polled == set(harness.state.servers_by_id)
+
+
+def test_clock_that_goes_back_is_ignored() -> None:
+    """Guards against timers and estimates that follow a clock backwards."""
+    harness = Harness()
+    harness.start()
+    harness.advance(1_000)
+    before = harness.state.now
+    harness.send(events.Tick(before - 900))
+    assert harness.state.now == before
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,157 @@
+"""Tests of the quarantine of requests that crash upstreams."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.reducing import Harness
+from turmerictiller import effects, events, quarantine
+from turmerictiller.errors import RefusalType
+
+CRASHING = "crash me"
+
+
+class CrashingFleet:
+    """One instance whose upstreams crash at one query and answer all others."""
+
+    def __init__(self, services: int = 3, crashing_services: set[str] | None = None) -> None:
+        self.harness = Harness()
+        self.harness.start(services=services)
+        self.crashing_services = crashing_services
+        self.lost_server_ids: list[str] = []
+        self.call_id = 0
+
+    def run(self, query: str) -> list[effects.Effect]:
+        """Send one search and let the upstreams answer or crash."""
+        self.call_id += 1
+        self.harness.effects.clear()
+        waiting = self.harness.search(self.call_id, query=query)
+        while waiting:
+            attempt = waiting.pop(0)
+            # A request that was sent crashes its server even if it is cancelled later.
+            if self._crashes(attempt):
+                self.lost_server_ids.append(attempt.server_id)
+            if attempt.attempt_id in self.harness.state.attempts_by_id:
+                self._end(attempt)
+            waiting += self.harness.take(effects.SendSearch)
+        replies = (effects.ReplySearch, effects.ReplyRefusal)
+        return [reply for kind in replies for reply in self.harness.take(kind)]
+
+    def _crashes(self, attempt: effects.SendSearch) -> bool:
+        if attempt.query != CRASHING:
+            return False
+        return self.crashing_services is None or attempt.service in self.crashing_services
+
+    def _end(self, attempt: effects.SendSearch) -> None:
+        if not self._crashes(attempt):
+            self.harness.answer(attempt)
+            return
+        kind = events.FailureKind.LOST
+        self.harness.send(events.AttemptFailed(self.harness.at, attempt.attempt_id, kind))
+
+
+def test_crashing_request_is_refused_at_once_after_two_servers() -> None:
+    """Guards against a repeated request that takes down one server after another.
+
+    The first scatter reaches every service once, and the first loss is retried once.
+    """
+    fleet = CrashingFleet()
+    (first,) = fleet.run(CRASHING)
+    assert isinstance(first, effects.ReplyRefusal)
+    assert first.refusal.type is RefusalType.QUARANTINED
+    lost = len(fleet.lost_server_ids)
+    assert lost <= 3 + 1
+    for _ in range(20):
+        fleet.harness.advance(100)
+        (reply,) = fleet.run(CRASHING)
+        assert isinstance(reply, effects.ReplyRefusal)
+    assert len(fleet.lost_server_ids) == lost
+    (other,) = fleet.run("velvet")
+    assert isinstance(other, effects.ReplySearch)
+    assert other.coverage.share == 1.0
+
+
+def test_request_that_crashes_one_service_only_is_quarantined() -> None:
+    """Guards against answers of other services that take back the blame."""
+    fleet = CrashingFleet(crashing_services={"jobs-1"})
+    for _ in range(20):
+        fleet.run(CRASHING)
+        fleet.harness.advance(200)
+    assert len(fleet.lost_server_ids) == 2
+
+
+def test_each_test_costs_one_server_and_doubles_the_quarantine() -> None:
+    """Guards against a crashing request that is let through for good after its quarantine."""
+    fleet = CrashingFleet()
+    fleet.run(CRASHING)
+    for _ in range(3_600):
+        fleet.harness.advance(1_000)
+        fleet.run(CRASHING)
+    # Quarantines of 30, 60, ..., 1920 s end within the hour: at most 7 tests.
+    assert len(fleet.lost_server_ids) <= (3 + 1) + 7
+
+
+def test_unlucky_request_is_answered_again_after_one_test() -> None:
+    """Guards against a request that is condemned for long because servers died by chance."""
+    fleet = CrashingFleet()
+    fleet.run(CRASHING)
+    fleet.crashing_services = set()
+    fleet.harness.advance(quarantine.FIRST_QUARANTINE_MS + 1)
+    (reply,) = fleet.run(CRASHING)
+    assert isinstance(reply, effects.ReplySearch)
+    assert reply.coverage.share == 1.0
+    assert fleet.harness.state.suspects_by_fingerprint == {}
+
+
+def test_loss_with_many_requests_running_condemns_none() -> None:
+    """Guards against killed servers that quarantine every request that they were running."""
+    harness = Harness()
+    harness.start(services=1, servers=2)
+    for number in range(1, 5):
+        harness.search(number, query=f"query {number}")
+    for server_id in ("jobs-0-s0", "jobs-0-s1"):
+        running = list(harness.state.servers_by_id[server_id].attempt_ids)
+        assert len(running) >= 2
+        for attempt_id in running:
+            kind = events.FailureKind.LOST
+            harness.send(events.AttemptFailed(harness.at, attempt_id, kind))
+    assert harness.state.counters["attempts.sent"] > 4
+    assert harness.state.counters["quarantine.imposed"] == 0
+
+
+def test_answer_takes_blame_back() -> None:
+    """Guards against blame that adds up over hours of ordinary losses."""
+    harness = Harness()
+    harness.start(services=1)
+    for call_id in range(1, 6):
+        harness.advance(1_000)
+        (attempt,) = harness.search(call_id, query="velvet")
+        harness.send(events.AttemptFailed(harness.at, attempt.attempt_id, events.FailureKind.LOST))
+        (retry,) = harness.take(effects.SendSearch)
+        harness.answer(retry)
+    assert len(harness.take(effects.ReplySearch)) == 5
+
+
+@given(st.lists(st.integers(0, 5_000), min_size=1, max_size=300))
+def test_suspects_are_bounded(queries: list[int]) -> None:
+    """Guards against a table that grows with hostile requests."""
+    harness = Harness(max_suspects=10)
+    harness.start(services=1, servers=3)
+    for number, query in enumerate(queries):
+        harness.advance(200)
+        for attempt in harness.search(number + 1, query=f"query {query}"):
+            kind = events.FailureKind.LOST
+            harness.send(events.AttemptFailed(harness.at, attempt.attempt_id, kind))
+        assert len(harness.state.suspects_by_fingerprint) <= 10
+
+
+@pytest.mark.parametrize("remaining_ms", [-5.0, 0.0, 1e12])
+def test_foreign_quarantine_is_bounded(remaining_ms: float) -> None:
+    """Guards against a peer that quarantines a request for ever."""
+    harness = Harness()
+    harness.start()
+    quarantine.adopt(harness.state, "f", remaining_ms, 3)
+    longest = quarantine.LONGEST_QUARANTINE_MS + quarantine.FOREIGN_GRACE_MS
+    assert (quarantine.quarantined_for_ms(harness.state, "f") or 0) <= longest
--- a/turmerictiller/attempts.py
+++ b/turmerictiller/attempts.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller.effects import CancelAttempt, SendSearch
+from turmerictiller.events import FailureKind
+from turmerictiller.quarantine import on_answered, on_server_lost
 from turmerictiller.routing import choose_server, observe_latency
 from turmerictiller.state import Attempt, Search, ServicePart, State
 
@@ -82,8 +84,11 @@
     server = state.servers_by_id.get(attempt.server_id)
     if server is None:
         return
-    observe_latency(server, state.now - attempt.sent_at)
+    on_answered(state, attempt)
     server.failures_in_row = 0
+    if attempt.spans_pause:
+        return
+    observe_latency(server, state.now - attempt.sent_at)
     server.last_answered_sent_at = max(server.last_answered_sent_at, attempt.sent_at)
 
 
@@ -91,8 +96,11 @@
     """Learn from an attempt that failed."""
     state.counters[f"attempts.failed.{event.kind.value}"] += 1
     server = state.servers_by_id.get(attempt.server_id)
-    if server is not None:
-        server.failures_in_row += 1
+    if server is None or attempt.spans_pause:
+        return
+    server.failures_in_row += 1
+    if event.kind is FailureKind.LOST:
+        on_server_lost(state, attempt, server)
 
 
 def is_valid_answer(search: Search, part: ServicePart, event: AttemptAnswered) -> bool:
--- /dev/null
+++ b/turmerictiller/pauses.py
@@ -0,0 +1,43 @@
+"""Detection of pauses of the process, and what a process that resumes late must discard."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.effects import WriteLog
+from turmerictiller.state import TimerKind
+
+if TYPE_CHECKING:
+    from turmerictiller.clock import Millis
+    from turmerictiller.state import State
+
+HOUSEKEEPING_MS = 100.0
+
+
+def observe_time(state: State, at: Millis) -> None:
+    """Advance the time of the state and detect a pause before the event is handled."""
+    gap_ms = at - state.now
+    state.now = max(state.now, at)
+    if state.housekeeping_started and gap_ms > state.settings.pause_threshold_ms:
+        _resume(state, gap_ms)
+
+
+def start_housekeeping(state: State) -> None:
+    """Schedule the first housekeeping; without it a quiet instance would look paused."""
+    if not state.housekeeping_started:
+        state.housekeeping_started = True
+        state.timers.add(state.now + HOUSEKEEPING_MS, TimerKind.HOUSEKEEPING)
+
+
+def _resume(state: State, gap_ms: float) -> None:
+    state.counters["pauses"] += 1
+    state.resumed_at = state.now
+    # The time of the pause is no latency of any server.
+    for attempt in state.attempts_by_id.values():
+        attempt.spans_pause = True
+    for server in state.servers_by_id.values():
+        server.attempt_ids = dict.fromkeys(server.attempt_ids, state.now)
+        server.status_at = float("-inf")
+        server.reported_load_at = float("-inf")
+    message = f"The process was paused for {gap_ms:.0f} ms."
+    state.out.append(WriteLog("pauses", message))
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -4,7 +4,15 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller import events, membership, notes_in_force, searches, snapshot
+from turmerictiller import (
+    events,
+    housekeeping,
+    membership,
+    notes_in_force,
+    pauses,
+    searches,
+    snapshot,
+)
 from turmerictiller.effects import WakeAt
 from turmerictiller.state import TimerKind
 
@@ -28,12 +36,14 @@
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
+    TimerKind.HOUSEKEEPING: housekeeping.on_housekeeping,
 }
 
 
 def reduce(state: State, event: events.Event) -> list[Effect]:
     """Apply one event to the state and return the effects, in order."""
-    state.now = max(state.now, event.at)
+    pauses.observe_time(state, event.at)
+    pauses.start_housekeeping(state)
     _run_due_timers(state)
     handler = HANDLER_BY_EVENT.get(type(event))
     if handler is not None:
--- a/turmerictiller/searches.py
+++ b/turmerictiller/searches.py
@@ -19,6 +19,7 @@
 from turmerictiller.fronts import Priority
 from turmerictiller.membership import observe_status
 from turmerictiller.merge import Cursor, decode_cursor, encode_cursor, hits_after, rank, top_k
+from turmerictiller.quarantine import begin_test, end_test, quarantined_for_ms, service_to_test
 from turmerictiller.routing import servers_with
 from turmerictiller.snapshot import choose_snapshot, coverage_of, shards_of
 from turmerictiller.state import Search, ServicePart, State, TimerKind
@@ -29,6 +30,8 @@
 
 RETRY_AFTER_MS = 200
 MAX_QUERY_CHARS = 4_096
+MAX_LOST_SERVERS = 2  # a search that has lost this many servers may be what crashes them
+RESTART_MIN_SHARE = 0.5
 
 MISSING_REASON_BY_FAILURE = {
     FailureKind.UNSENT: "unreachable",
@@ -48,6 +51,7 @@
     if isinstance(started, Refusal):
         refuse(state, event.call_id, started)
         return
+    started.is_test = begin_test(state, started.fingerprint, started.call_id)
     state.searches_by_id[started.call_id] = started
     state.counters["searches.started"] += 1
     state.timers.add(started.deadline_at, TimerKind.SEARCH_DEADLINE, started.call_id)
@@ -95,6 +99,8 @@
 
 def _new_search(state: State, front: Front, event: SearchArrived) -> Search | Refusal:
     fingerprint = fingerprint_of(front.name, event.query)
+    if quarantined_for_ms(state, fingerprint) is not None:
+        return _quarantine_refusal(state, fingerprint, Ran.NO)
     cursor = None
     if event.cursor is not None:
         try:
@@ -139,11 +145,32 @@
 
 
 def _scatter(state: State, search: Search) -> None:
+    if search.is_test:
+        _scatter_test(state, search)
+        return
     for part in search.parts_by_service.values():
         _start_or_resolve(state, search, part, "no_capacity")
     _finish_if_resolved(state, search)
 
 
+def _scatter_test(state: State, search: Search) -> None:
+    """Send only the first part; if it crashes its server, no other server is lost."""
+    service = service_to_test(state, search.fingerprint)
+    parts = list(search.parts_by_service.values())
+    part = search.parts_by_service.get(service or parts[0].service, parts[0])
+    _start_or_resolve(state, search, part, "no_capacity")
+    if not part.attempt_ids:
+        finish(state, search)
+
+
+def _continue_after_test(state: State, search: Search) -> None:
+    """Send the other parts of a search whose first part has proved it harmless."""
+    search.is_test = False
+    for part in search.parts_by_service.values():
+        if not part.resolved:
+            _start_or_resolve(state, search, part, "no_capacity")
+
+
 def _start_or_resolve(state: State, search: Search, part: ServicePart, reason: str) -> None:
     if start_attempt(state, search, part):
         return
@@ -173,6 +200,8 @@
         return
     _merge(search, part, event)
     cancel_attempts(state, part)
+    if search.is_test:
+        _continue_after_test(state, search)
     _finish_if_resolved(state, search)
 
 
@@ -196,14 +225,65 @@
         return
     part = search.parts_by_service[attempt.service]
     part.attempt_ids.remove(attempt.id)
+    if event.kind is FailureKind.LOST:
+        search.lost_server_ids.add(attempt.server_id)
+        if quarantined_for_ms(state, search.fingerprint) is not None:
+            _finish_quarantined(state, search)
+            return
+    if event.kind is FailureKind.SNAPSHOT_GONE and _restart(state, search):
+        return
     _retry_part(state, search, part, MISSING_REASON_BY_FAILURE[event.kind])
     _finish_if_resolved(state, search)
 
 
+def _finish_quarantined(state: State, search: Search) -> None:
+    """Give up a search that has just been found to crash upstreams."""
+    del state.searches_by_id[search.call_id]
+    for part in search.parts_by_service.values():
+        cancel_attempts(state, part)
+    refuse(state, search.call_id, _quarantine_refusal(state, search.fingerprint, Ran.MAYBE))
+
+
+def _quarantine_refusal(state: State, fingerprint: str, ran: Ran) -> Refusal:
+    remaining_ms = quarantined_for_ms(state, fingerprint) or 0.0
+    return Refusal(
+        RefusalType.QUARANTINED,
+        "this request has crashed upstreams and is not run again for now",
+        ran,
+        int(remaining_ms),
+    )
+
+
+def _restart(state: State, search: Search) -> bool:
+    """Start a search again on a newer snapshot if most of its time is left."""
+    left_ms = search.deadline_at - state.now
+    is_late = left_ms < (search.deadline_at - search.arrived_at) * RESTART_MIN_SHARE
+    if search.restarted or search.after is not None or is_late:
+        return False
+    newer = choose_snapshot(state, search.front, newer_than=search.snapshot)
+    if newer is None:
+        return False
+    for part in search.parts_by_service.values():
+        cancel_attempts(state, part)
+    state.counters["searches.restarted"] += 1
+    search.restarted = True
+    search.snapshot = newer
+    search.hits = []
+    set_parts(state, search)
+    _scatter(state, search)
+    return True
+
+
 def _retry_part(state: State, search: Search, part: ServicePart, reason: str) -> None:
     part.missing_reason = reason
     if part.attempt_ids:
         return
+    if search.is_test:
+        finish(state, search)
+        return
+    if len(search.lost_server_ids) >= MAX_LOST_SERVERS:
+        part.resolved = True
+        return
     _start_or_resolve(state, search, part, reason)
 
 
@@ -220,6 +300,7 @@
     if search is None:
         return
     state.counters["searches.caller_gone"] += 1
+    end_test(state, search.fingerprint, search.call_id)
     for part in search.parts_by_service.values():
         cancel_attempts(state, part)
 
@@ -234,6 +315,7 @@
 def finish(state: State, search: Search) -> None:
     """Answer a search and cancel what still runs for it."""
     del state.searches_by_id[search.call_id]
+    end_test(state, search.fingerprint, search.call_id)
     coverage = coverage_of(search)
     for part in search.parts_by_service.values():
         cancel_attempts(state, part)
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -15,6 +15,7 @@
     from turmerictiller.effects import Effect
     from turmerictiller.events import Hit
     from turmerictiller.fronts import Front, NoteInForce, Priority
+    from turmerictiller.quarantine import Suspect
 
 
 class TimerKind(Enum):
@@ -69,6 +70,7 @@
     is_hedge: bool = False
     is_run: bool = False
     fingerprint: str = ""
+    spans_pause: bool = False
 
 
 @dataclass(slots=True)
@@ -103,6 +105,7 @@
     fingerprint: str
     after: tuple[float, str, str] | None = None
     restarted: bool = False
+    is_test: bool = False
     parts_by_service: dict[str, ServicePart] = field(default_factory=dict)
     hits: list[Hit] = field(default_factory=list)
     lost_server_ids: set[str] = field(default_factory=set)
@@ -135,6 +138,7 @@
     ejected_until: Millis = float("-inf")
     limit: float = 0.0
     last_answered_sent_at: Millis = float("-inf")
+    lost_at: Millis = float("-inf")
 
 
 @dataclass(slots=True)
@@ -166,6 +170,10 @@
     shard_maps_by_snapshot: dict[str, dict[str, tuple[str, ...]]] = field(default_factory=dict)
     maps_requested_at: dict[str, Millis] = field(default_factory=dict)
     timers: Timers = field(default_factory=Timers)
+    suspects_by_fingerprint: dict[str, Suspect] = field(default_factory=dict)
+    quarantine_changed: bool = False
+    housekeeping_started: bool = False
+    resumed_at: Millis = float("-inf")
     counters: Counter[str] = field(default_factory=Counter)
     next_attempt_id: int = 1
     wake_at: Millis | None = None
