Replace connections that have gone silent

Cause: a kept connection whose path has lost track of it swallows calls until their deadline, and the server would be charged for it. Ruled out: TCP keep-alive probes (they answer within minutes at best and not at all on some paths); closing all connections of the server (it cuts off calls that still run). Change: a call that ends unanswered though the server answered a later one is charged to the connection, and idle connections to that server are replaced. Polls use connections of their own, so that a server whose kept connections are all silent is found by its next poll. Before: no detection.

--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,111 @@
+"""Tests of the detection of silent connections."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from tests.reducing import Harness
+from turmerictiller import effects, events
+from turmerictiller.connection_pool import ConnectionPools
+
+
+def one_server() -> Harness:
+    """Return an instance with a single server."""
+    harness = Harness()
+    harness.start(services=1, servers=1)
+    return harness
+
+
+def test_call_overtaken_by_a_later_one_is_charged_to_its_connection() -> None:
+    """Guards against a healthy server that is avoided because a connection went silent."""
+    harness = one_server()
+    (silent,) = harness.search(1, deadline_ms=400.0)
+    harness.advance(50)
+    (other,) = harness.search(2, deadline_ms=400.0)
+    harness.advance(10)
+    harness.answer(other)
+    harness.advance(400)
+    (reset,) = harness.take(effects.ResetConnections)
+    assert reset.server_id == silent.server_id
+    assert harness.state.counters["connections.silent"] == 1
+    assert harness.state.servers_by_id[silent.server_id].failures_in_row == 0
+
+
+def test_call_to_a_silent_server_is_charged_to_the_server() -> None:
+    """Guards against a dead server that passes for a silent connection."""
+    harness = one_server()
+    (attempt,) = harness.search(1, deadline_ms=400.0)
+    harness.advance(300)
+    kind = events.FailureKind.TIMED_OUT
+    harness.send(events.AttemptFailed(harness.at, attempt.attempt_id, kind))
+    assert harness.state.counters["connections.silent"] == 0
+    assert harness.state.servers_by_id[attempt.server_id].failures_in_row == 1
+
+
+def test_loser_of_a_short_race_is_no_silent_connection() -> None:
+    """Guards against resets at every call that is overtaken by a few milliseconds."""
+    harness = one_server()
+    harness.search(1, deadline_ms=60.0)
+    harness.advance(5)
+    (other,) = harness.search(2)
+    harness.answer(other)
+    harness.advance(100)
+    assert harness.take(effects.ResetConnections) == []
+
+
+def test_all_connections_silent_are_replaced_after_a_poll() -> None:
+    """Guards against a server that stays unused because every kept connection went silent."""
+    harness = one_server()
+    (attempt,) = harness.search(1, deadline_ms=4_000.0)
+    harness.advance(1_100)
+    assert harness.take(effects.PollHealth)
+    status = events.UpstreamStatus("i", False, (attempt.snapshot,))
+    harness.send(events.HealthReported(harness.at, attempt.server_id, status))
+    assert harness.take(effects.ResetConnections)
+
+
+def test_reset_replaces_idle_connections_and_lets_calls_finish() -> None:
+    """Guards against a reset that cuts off the calls that still run."""
+    connections: set[object] = set()
+    arrived, release = asyncio.Event(), asyncio.Event()
+
+    async def on_call(request: web.Request) -> web.Response:
+        connections.add(request.transport)
+        if request.path == "/wait":
+            arrived.set()
+            await release.wait()
+        return web.Response(text="done")
+
+    async def call(pools: ConnectionPools, address: str, path: str) -> str:
+        async with (
+            pools.session(address) as session,
+            session.get(f"http://{address}{path}") as response,
+        ):
+            return await response.text()
+
+    async def scenario() -> None:
+        app = web.Application()
+        app.router.add_get("/{name}", on_call)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = runner.addresses[0][:2]
+        address = f"{host}:{port}"
+        pools = ConnectionPools()
+        await call(pools, address, "/one")
+        await call(pools, address, "/two")
+        assert len(connections) == 1
+        running = asyncio.create_task(call(pools, address, "/wait"))
+        await arrived.wait()
+        pools.reset(address)
+        await call(pools, address, "/three")
+        release.set()
+        assert await running == "done"
+        assert len(connections) == 2
+        await pools.close()
+        await runner.cleanup()
+
+    asyncio.run(scenario())
--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -74,6 +74,7 @@
             effects.CancelAttempt: lambda effect: self._upstreams.cancel(effect.attempt_id),
             effects.PollHealth: self._upstreams.poll_health,
             effects.FetchShardMap: self._upstreams.fetch_shard_map,
+            effects.ResetConnections: self._upstreams.reset_connections,
             effects.ReplySearch: self.callers.reply,
             effects.ReplyRefusal: self.callers.reply,
             effects.ReplyTicket: self.callers.reply,
--- a/turmerictiller/attempts.py
+++ b/turmerictiller/attempts.py
@@ -8,6 +8,7 @@
 from turmerictiller.events import FailureKind
 from turmerictiller.quarantine import on_answered, on_server_lost
 from turmerictiller.routing import choose_server, observe_latency
+from turmerictiller.silence import on_unanswered
 from turmerictiller.state import Attempt, Search, ServicePart, State
 
 if TYPE_CHECKING:
@@ -73,8 +74,12 @@
 def cancel_attempts(state: State, part: ServicePart) -> None:
     """Cancel the attempts of a part that are still running."""
     for attempt_id in part.attempt_ids:
-        if attempt_id in state.attempts_by_id:
+        attempt = state.attempts_by_id.get(attempt_id)
+        if attempt is not None:
             close_attempt(state, attempt_id)
+            server = state.servers_by_id.get(attempt.server_id)
+            if server is not None:
+                on_unanswered(state, attempt, server)
             state.out.append(CancelAttempt(attempt_id))
     part.attempt_ids.clear()
 
@@ -98,6 +103,8 @@
     server = state.servers_by_id.get(attempt.server_id)
     if server is None or attempt.spans_pause:
         return
+    if event.kind is FailureKind.TIMED_OUT and on_unanswered(state, attempt, server):
+        return
     server.failures_in_row += 1
     if event.kind is FailureKind.LOST:
         on_server_lost(state, attempt, server)
--- a/turmerictiller/membership.py
+++ b/turmerictiller/membership.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.effects import PollHealth
+from turmerictiller.effects import PollHealth, ResetConnections
+from turmerictiller.silence import on_poll_answered
 from turmerictiller.snapshot import request_missing_maps
 from turmerictiller.state import ServerState, ServiceState, State, TimerKind
 
@@ -24,6 +25,9 @@
         service_state = kept or ServiceState(service.name, ())
         service_state.server_ids = tuple(service.servers_by_id)
         services[service.name] = service_state
+    for server_id in state.servers_by_id.keys() - wanted.keys():
+        address = state.servers_by_id[server_id].address
+        state.out.append(ResetConnections(server_id, address))
     state.servers_by_id = wanted
     state.services_by_name = services
 
@@ -52,6 +56,9 @@
 def on_health_reported(state: State, event: HealthReported) -> None:
     """Take in the status of a server."""
     observe_status(state, event.server_id, event.status)
+    server = state.servers_by_id.get(event.server_id)
+    if server is not None:
+        on_poll_answered(state, server)
 
 
 def on_health_failed(state: State, event: HealthFailed) -> None:
--- /dev/null
+++ b/turmerictiller/silence.py
@@ -0,0 +1,52 @@
+"""Detection of connections that have gone silent while new ones to the same server work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.effects import ResetConnections
+
+if TYPE_CHECKING:
+    from turmerictiller.state import Attempt, ServerState, State
+
+MIN_SILENCE_MS = 100.0
+SILENCE_FACTOR = 10.0  # a call this many times slower than usual counts as silent
+RESET_INTERVAL_MS = 1_000.0
+
+
+def is_silent(state: State, attempt: Attempt, server: ServerState) -> bool:
+    """Return whether a call is unanswered though the server answered one sent after it."""
+    return server.last_answered_sent_at > attempt.sent_at and _is_overdue(state, attempt, server)
+
+
+def on_unanswered(state: State, attempt: Attempt, server: ServerState) -> bool:
+    """Judge a call that ends without an answer; return whether its connection is to blame."""
+    if attempt.spans_pause or not is_silent(state, attempt, server):
+        return False
+    state.counters["connections.silent"] += 1
+    _reset(state, server)
+    return True
+
+
+def on_poll_answered(state: State, server: ServerState) -> None:
+    """Replace kept connections if polls are answered while calls stay without an answer.
+
+    Polls use connections of their own. The server may also be slow, so it is still charged.
+    """
+    for attempt_id in server.attempt_ids:
+        attempt = state.attempts_by_id.get(attempt_id)
+        if attempt is not None and _is_overdue(state, attempt, server):
+            _reset(state, server)
+            return
+
+
+def _is_overdue(state: State, attempt: Attempt, server: ServerState) -> bool:
+    usual_ms = max(MIN_SILENCE_MS, SILENCE_FACTOR * server.slow_ms)
+    return not attempt.spans_pause and state.now - attempt.sent_at >= usual_ms
+
+
+def _reset(state: State, server: ServerState) -> None:
+    if state.now - server.reset_at < RESET_INTERVAL_MS:
+        return
+    server.reset_at = state.now
+    state.out.append(ResetConnections(server.id, server.address))
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -139,6 +139,7 @@
     limit: float = 0.0
     last_answered_sent_at: Millis = float("-inf")
     lost_at: Millis = float("-inf")
+    reset_at: Millis = float("-inf")
 
 
 @dataclass(slots=True)
--- a/turmerictiller/upstreams.py
+++ b/turmerictiller/upstreams.py
@@ -8,6 +8,7 @@
 import aiohttp
 import orjson
 
+from turmerictiller.connection_pool import ConnectionPools
 from turmerictiller.events import (
     AttemptAnswered,
     AttemptFailed,
@@ -29,11 +30,11 @@
     from turmerictiller.effects import (
         FetchShardMap,
         PollHealth,
+        ResetConnections,
         SendRun,
         SendSearch,
     )
 
-KEEPALIVE_S = 15.0
 POLL_TIMEOUT_S = 1.0
 
 FAILURE_BY_ERROR = {
@@ -52,11 +53,11 @@
         self._dispatch = dispatch
         self._tasks_by_attempt: dict[int, asyncio.Task[None]] = {}
         self._polls: set[asyncio.Task[None]] = set()
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
-        self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        # A non-idempotent request gets a connection of its own: a kept one may have gone silent.
-        self._run_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True), auto_decompress=False
+        self._pools = ConnectionPools()
+        # Polls and non-idempotent requests get connections of their own: a kept one may have gone
+        # silent.
+        self._fresh_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
         )
 
     def send_search(self, effect: SendSearch) -> None:
@@ -81,14 +82,18 @@
         """Ask a server for a shard map."""
         self._poll(self._shard_map(effect))
 
+    def reset_connections(self, effect: ResetConnections) -> None:
+        """Close the idle connections to a server."""
+        self._pools.reset(effect.address)
+
     async def close(self) -> None:
         """End all calls."""
         tasks = [*self._tasks_by_attempt.values(), *self._polls]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self._session.close()
-        await self._run_session.close()
+        await self._pools.close()
+        await self._fresh_session.close()
 
     def _start(self, attempt_id: int, call: Any) -> None:
         task = asyncio.get_running_loop().create_task(call)
@@ -111,7 +116,8 @@
             "budget_ms": effect.budget_ms,
         }
         url = f"http://{effect.address}/search"
-        event = await self._post(self._session, url, request, effect.attempt_id, effect.timeout_ms)
+        async with self._pools.session(effect.address) as session:
+            event = await self._post(session, url, request, effect.attempt_id, effect.timeout_ms)
         if isinstance(event, AttemptFailed):
             self._dispatch(event)
             return
@@ -127,7 +133,7 @@
         }
         url = f"http://{effect.address}/run"
         event = await self._post(
-            self._run_session, url, request, effect.attempt_id, effect.timeout_ms
+            self._fresh_session, url, request, effect.attempt_id, effect.timeout_ms
         )
         if isinstance(event, AttemptFailed):
             self._dispatch(event)
@@ -223,7 +229,9 @@
     async def _get(self, url: str) -> Any:
         timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
         try:
-            async with self._session.get(url, timeout=timeout, allow_redirects=False) as response:
+            async with self._fresh_session.get(
+                url, timeout=timeout, allow_redirects=False
+            ) as response:
                 if response.status != 200:
                     return None
                 return orjson.loads(await self._read(response))
