Add the life cycle of the process to the reducer

Cause: a signal ended the process at once, whatever was in flight. Ruled out: one machine object per state, because it keeps a reference to each state and makes the state something other than plain data; a machine that reports unknown triggers, because it writes a warning on standard error for each second signal. Change: lifecycle.py holds the machine from starting to stopped, the timers of a shutdown and the check of calls by phase. Draining serves searches and runs and issues no tickets; closing starts no run and only searches that end before the shutdown does; the listeners close when nothing is in flight and no call came for quiet_close_ms. The event CallersLeft tells that no caller is connected. /health says not ready from the signal on. Before: no test of a shutdown.

--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,129 @@
+"""Tests of the life of the process, in virtual time."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.reducing import Harness
+from turmerictiller import effects, events
+from turmerictiller.errors import RefusalType
+from turmerictiller.state import ProcessPhase
+from turmerictiller.state_dump import health
+
+NOTICE_MS = 300
+QUIET_MS = 200
+LIMIT_MS = 2_000
+
+
+def _harness() -> Harness:
+    harness = Harness(
+        drain_notice_ms=NOTICE_MS,
+        quiet_close_ms=QUIET_MS,
+        shutdown_limit_ms=LIMIT_MS,
+        max_deadline_ms=1_000,
+    )
+    harness.start(deadline_max_ms=1_000)
+    return harness
+
+
+def _shut_down(harness: Harness) -> None:
+    harness.send(events.ShutdownRequested(harness.at))
+
+
+def _refusals(harness: Harness) -> list[RefusalType]:
+    return [reply.refusal.type for reply in harness.take(effects.ReplyRefusal)]
+
+
+def test_draining_is_not_ready_but_serves_searches() -> None:
+    """Guards against calls refused before the balancer knows of the shutdown."""
+    harness = _harness()
+    assert health(harness.state)["ready"]
+    _shut_down(harness)
+    assert health(harness.state)["alive"]
+    assert not health(harness.state)["ready"]
+    harness.advance(NOTICE_MS - 1)
+    for attempt in harness.search(1):
+        harness.answer(attempt)
+    assert len(harness.take(effects.ReplySearch)) == 1
+    assert harness.take(effects.CloseListeners) == []
+
+
+def test_draining_issues_no_tickets_and_closing_starts_no_runs() -> None:
+    """Guards against a ticket whose owner is gone before it can be used."""
+    harness = _harness()
+    _shut_down(harness)
+    harness.send(events.TicketRequested(harness.at, 1, "booking"))
+    assert _refusals(harness) == [RefusalType.SHUTTING_DOWN]
+    run = events.RunArrived(harness.at, 2, "booking", "t", "pickup", {})
+    harness.send(run)
+    assert RefusalType.SHUTTING_DOWN not in _refusals(harness)
+    harness.advance(NOTICE_MS)
+    harness.send(run)
+    assert _refusals(harness) == [RefusalType.SHUTTING_DOWN]
+
+
+def test_listeners_stay_open_until_calls_are_over_and_quiet() -> None:
+    """Guards against a listener closed under a search or right after one."""
+    harness = _harness()
+    _shut_down(harness)
+    harness.advance(NOTICE_MS - 1)
+    attempts = harness.search(1, deadline_ms=900.0)
+    harness.advance(QUIET_MS * 2)
+    assert harness.take(effects.CloseListeners) == []
+    for attempt in attempts:
+        harness.answer(attempt)
+    harness.advance(100)
+    assert len(harness.take(effects.CloseListeners)) == 1
+    assert harness.take(effects.Stop) == []
+    harness.send(events.CallersLeft(harness.at))
+    assert len(harness.take(effects.Stop)) == 1
+
+
+def test_search_that_would_outlast_the_shutdown_is_refused() -> None:
+    """Guards against a search that the end of the process cuts off."""
+    harness = _harness()
+    _shut_down(harness)
+    harness.advance(LIMIT_MS - 400)
+    assert harness.search(1, deadline_ms=401.0) == []
+    assert _refusals(harness) == [RefusalType.SHUTTING_DOWN]
+    assert len(harness.search(2, deadline_ms=300.0)) == 2
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.just("shutdown"),
+        st.just("callers_left"),
+        st.just("search"),
+        st.integers(1, 700),
+    ),
+    max_size=25,
+)
+
+
+@given(STEPS)
+def test_shutdown_only_goes_forward_and_ends_once_in_time(steps: list[str | int]) -> None:
+    """Guards against a second signal that restarts, delays or repeats the shutdown."""
+    harness = _harness()
+    order = list(ProcessPhase)
+    requested_at = None
+    phase = harness.state.lifecycle.phase
+    for call_id, step in enumerate(["shutdown", *steps, "shutdown"]):
+        if step == "shutdown":
+            requested_at = harness.at if requested_at is None else requested_at
+            _shut_down(harness)
+        elif step == "callers_left" and harness.state.lifecycle.listeners_closed:
+            harness.send(events.CallersLeft(harness.at))
+        elif step == "search":
+            harness.search(call_id, deadline_ms=100.0)
+        elif isinstance(step, int):
+            harness.advance(step)
+        assert order.index(harness.state.lifecycle.phase) >= order.index(phase)
+        phase = harness.state.lifecycle.phase
+        assert requested_at is not None
+        assert harness.state.lifecycle.ends_at == requested_at + LIMIT_MS
+    harness.advance(max(0.0, requested_at + LIMIT_MS - harness.at))
+    assert harness.state.lifecycle.phase is ProcessPhase.STOPPED
+    assert len(harness.take(effects.Stop)) == 1
+    assert len(harness.take(effects.CloseListeners)) == 1
+    assert not harness.state.searches_by_id
--- a/turmerictiller/events.py
+++ b/turmerictiller/events.py
@@ -269,6 +269,13 @@
     at: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class CallersLeft:
+    """The callers' listener is closed and no caller is connected any more."""
+
+    at: Millis
+
+
 Event = (
     Tick
     | SearchArrived
@@ -290,4 +297,5 @@
     | HealthFailed
     | ShardMapSeen
     | ShutdownRequested
+    | CallersLeft
 )
--- /dev/null
+++ b/turmerictiller/lifecycle.py
@@ -0,0 +1,166 @@
+"""Life of the process: starting, running, draining, closing, stopped."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from transitions import Machine
+
+from turmerictiller.effects import CloseListeners, ReplyRefusal, Stop, WriteLog
+from turmerictiller.errors import Ran, Refusal, RefusalType
+from turmerictiller.events import RunArrived, SearchArrived, TicketRequested
+from turmerictiller.state import ProcessPhase, TimerKind
+
+if TYPE_CHECKING:
+    from turmerictiller.events import CallersLeft, Event, ShutdownRequested
+    from turmerictiller.state import State
+
+CHECK_INTERVAL_MS = 50
+RETRY_ELSEWHERE_MS = 100
+
+_NOTICE_OVER = "notice_over"
+_CHECK = "check"
+_LIMIT = "limit"
+
+_CALL_EVENTS = (SearchArrived, TicketRequested, RunArrived)
+_BEFORE_SHUTDOWN = (ProcessPhase.STARTING, ProcessPhase.RUNNING)
+
+
+class _Model:
+    """Carrier of the phase while the machine computes the next one."""
+
+    state: str
+
+
+_MODEL = _Model()
+_MACHINE = Machine(
+    _MODEL,
+    states=[phase.value for phase in ProcessPhase],
+    initial=ProcessPhase.STARTING.value,
+    auto_transitions=False,
+    transitions=[
+        ["serve", "starting", "running"],
+        ["drain", ["starting", "running"], "draining"],
+        ["close", "draining", "closing"],
+        ["stop", ["draining", "closing"], "stopped"],
+    ],
+)
+
+
+def next_phase(phase: ProcessPhase, trigger: str) -> ProcessPhase:
+    """Return the phase after a trigger; a trigger without a transition changes nothing."""
+    # The machine itself warns on standard error about a trigger without a transition.
+    if not _MACHINE.get_transitions(trigger, phase.value):
+        return phase
+    _MACHINE.set_state(phase.value, _MODEL)
+    _MACHINE.events[trigger].trigger(_MODEL)
+    return ProcessPhase(_MODEL.state)
+
+
+def is_leaving(state: State) -> bool:
+    """Return whether this instance is on its way out; gossip tells it to peers."""
+    return state.lifecycle.phase not in _BEFORE_SHUTDOWN
+
+
+def is_closing(state: State) -> bool:
+    """Return whether the notice time is over."""
+    return state.lifecycle.phase in (ProcessPhase.CLOSING, ProcessPhase.STOPPED)
+
+
+def observe_note(state: State) -> None:
+    """Leave ``starting`` once a release note is in force."""
+    if state.lifecycle.phase is ProcessPhase.STARTING and state.note is not None:
+        _move(state, "serve")
+
+
+def on_shutdown_requested(state: State, event: ShutdownRequested) -> None:
+    """Begin to drain; a later request changes nothing."""
+    if not _move(state, "drain"):
+        state.counters["shutdown.repeated"] += 1
+        return
+    settings = state.settings
+    state.lifecycle.last_call_at = state.now
+    state.lifecycle.ends_at = state.now + settings.shutdown_limit_ms
+    state.timers.add(state.now + settings.drain_notice_ms, TimerKind.SHUTDOWN, _NOTICE_OVER)
+    state.timers.add(state.lifecycle.ends_at, TimerKind.SHUTDOWN, _LIMIT)
+
+
+def on_shutdown_timer(state: State, key: str) -> None:
+    """Take the next step of a shutdown if its time has come."""
+    if key == _LIMIT:
+        _stop(state)
+        return
+    if key == _NOTICE_OVER:
+        _move(state, "close")
+    _close_when_quiet(state)
+
+
+def on_callers_left(state: State, event: CallersLeft) -> None:
+    """Stop once nothing runs on behalf of callers or peers."""
+    state.lifecycle.callers_left = True
+    _close_when_quiet(state)
+
+
+def admits(state: State, event: Event) -> bool:
+    """Return whether a call may go on in this phase; refuse it if not."""
+    if state.lifecycle.phase in _BEFORE_SHUTDOWN or not isinstance(event, _CALL_EVENTS):
+        return True
+    state.lifecycle.last_call_at = state.now
+    if _is_served(state, event):
+        return True
+    refusal = Refusal(
+        RefusalType.SHUTTING_DOWN, "this instance is shutting down", Ran.NO, RETRY_ELSEWHERE_MS
+    )
+    state.counters[f"refusals.{refusal.type.value}"] += 1
+    state.out.append(ReplyRefusal(event.call_id, refusal))
+    return False
+
+
+def _is_served(state: State, event: SearchArrived | TicketRequested | RunArrived) -> bool:
+    phase = state.lifecycle.phase
+    if isinstance(event, TicketRequested) or phase is ProcessPhase.STOPPED:
+        return False
+    if isinstance(event, RunArrived):
+        return phase is ProcessPhase.DRAINING
+    # A search that could outlast the shutdown would be cut off.
+    return event.at + _deadline_ms(state, event) < state.lifecycle.ends_at
+
+
+def _deadline_ms(state: State, event: SearchArrived) -> float:
+    if event.deadline_ms is not None:
+        return event.deadline_ms
+    front = state.note.configuration.fronts_by_name.get(event.front) if state.note else None
+    return front.deadline_default_ms if front else 0.0
+
+
+def _close_when_quiet(state: State) -> None:
+    life = state.lifecycle
+    if life.phase is not ProcessPhase.CLOSING:
+        return
+    in_flight = bool(state.searches_by_id or state.attempts_by_id)
+    is_quiet = state.now - life.last_call_at >= state.settings.quiet_close_ms
+    if is_quiet and not in_flight and not life.listeners_closed:
+        life.listeners_closed = True
+        state.out.append(CloseListeners())
+    if life.callers_left and not in_flight:
+        _stop(state)
+        return
+    state.timers.add(state.now + CHECK_INTERVAL_MS, TimerKind.SHUTDOWN, _CHECK)
+
+
+def _stop(state: State) -> None:
+    if not _move(state, "stop"):
+        return
+    if not state.lifecycle.listeners_closed:
+        state.lifecycle.listeners_closed = True
+        state.out.append(CloseListeners())
+    state.out.append(Stop())
+
+
+def _move(state: State, trigger: str) -> bool:
+    life = state.lifecycle
+    before, life.phase = life.phase, next_phase(life.phase, trigger)
+    if life.phase is before:
+        return False
+    state.out.append(WriteLog("lifecycle", f"The process is {life.phase.value}."))
+    return True
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller import events, membership, notes_in_force, searches, snapshot
+from turmerictiller import events, lifecycle, membership, notes_in_force, searches, snapshot
 from turmerictiller.effects import WakeAt
 from turmerictiller.state import TimerKind
 
@@ -23,11 +23,14 @@
     events.HealthReported: membership.on_health_reported,
     events.HealthFailed: membership.on_health_failed,
     events.ShardMapSeen: snapshot.on_shard_map_seen,
+    events.ShutdownRequested: lifecycle.on_shutdown_requested,
+    events.CallersLeft: lifecycle.on_callers_left,
 }
 
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
+    TimerKind.SHUTDOWN: lifecycle.on_shutdown_timer,
 }
 
 
@@ -36,8 +39,9 @@
     state.now = max(state.now, event.at)
     _run_due_timers(state)
     handler = HANDLER_BY_EVENT.get(type(event))
-    if handler is not None:
+    if lifecycle.admits(state, event) and handler is not None:
         handler(state, event)
+        lifecycle.observe_note(state)
         _run_due_timers(state)
     _request_wake(state)
     effects, state.out = state.out, []
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -30,6 +30,32 @@
     SHUTDOWN = "shutdown"
 
 
+class ProcessPhase(Enum):
+    """Phases in the life of the process, in order."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    DRAINING = "draining"
+    CLOSING = "closing"
+    STOPPED = "stopped"
+
+
+@dataclass(slots=True)
+class Lifecycle:
+    """Where the process is in its life.
+
+    :param ends_at: when a shutdown that has begun is over at the latest.
+    :param last_call_at: arrival of the latest call since the shutdown began.
+    :param callers_left: whether listeners are closed and no caller is connected.
+    """
+
+    phase: ProcessPhase = ProcessPhase.STARTING
+    ends_at: Millis = float("inf")
+    last_call_at: Millis = float("-inf")
+    listeners_closed: bool = False
+    callers_left: bool = False
+
+
 @dataclass(slots=True)
 class Timers:
     """A queue of due times; a timer whose subject is gone is ignored when it runs out."""
@@ -158,6 +184,7 @@
     settings: Settings
     now: Millis = 0.0
     rng: random.Random = field(default_factory=random.Random)
+    lifecycle: Lifecycle = field(default_factory=Lifecycle)
     note: NoteInForce | None = None
     searches_by_id: dict[int, Search] = field(default_factory=dict)
     attempts_by_id: dict[int, Attempt] = field(default_factory=dict)
--- a/turmerictiller/state_dump.py
+++ b/turmerictiller/state_dump.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from turmerictiller.lifecycle import is_leaving
 from turmerictiller.limits import live_instances, outstanding_limit
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
         "incarnation": state.settings.incarnation,
         "failure_domain": state.settings.failure_domain,
         "now_ms": round(state.now, 1),
+        "phase": state.lifecycle.phase.value,
         "note": {"number": note.number, "digest": note.digest} if note else None,
         "snapshots": sorted(state.shard_maps_by_snapshot),
         "live_instances": live_instances(state),
@@ -54,4 +56,7 @@
     reason = "" if state.note else "no release note is in force"
     if not reason and not has_server:
         reason = "no upstream has reported a snapshot"
-    return {"alive": True, "ready": not reason, "reason": reason}
+    if is_leaving(state):
+        reason = "the instance is shutting down"
+    phase = state.lifecycle.phase.value
+    return {"alive": True, "ready": not reason, "reason": reason, "phase": phase}
