Bound callers' connections and answer all bad input in one form

Cause: malformed HTTP, wrong content types and slow headers got no typed refusal, connections had no bound, and an exception in the reducer or a handler left its caller without an answer. Ruled out: refusing a connection without an answer, because a balancer then takes it for a crash; closing a socket with unread bytes, because the reset destroys the refusal on its way; going on for a half-closed caller, because a caller that left looks the same and its work costs upstream slots. Change: caller_connections.py bounds connections, header size and time, body and answer time, and half-closes before it closes. caller_bodies.py checks depth and number range, because a body that can be read here may fail or change when it is written upstream. caller_answers.py turns every error into a typed refusal; refusals of the border are counted per type and shown in the state dump. The effects of an interrupted event are still carried out, and searches that the reducer lost are answered at once. Found by the tests: a half-closed caller with an incomplete body waited for the read timeout; attempts without a search held up a shutdown until its limit.

--- /dev/null
+++ b/tests/serving.py
@@ -0,0 +1,143 @@
+"""An entry instance, a platform and upstreams with real sockets, in this process."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import orjson
+from aiohttp import web
+
+from standins import platform, upstream
+from tests.reducing import definitions
+from turmerictiller.application import Application
+from turmerictiller.config import load_settings
+from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.notes import seal_note
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+SERVICES = ["jobs-0", "jobs-1"]
+SETTINGS = {
+    "instance_id": "e1",
+    "failure_domain": "plateau",
+    "incarnation": "a1",
+    "seed": 1,
+    "caller_address": "127.0.0.1:0",
+    "operator_address": "127.0.0.1:0",
+    "peer_address": "127.0.0.1:0",
+    "drain_notice_ms": 300,
+    "quiet_close_ms": 150,
+    "max_deadline_ms": 5_000,
+    "shutdown_limit_ms": 30_000,
+    "read_timeout_ms": 20_000,
+}
+
+
+class Served:
+    """A running instance and what it stands on."""
+
+    def __init__(self, app: Application, upstreams: list[upstream.Upstream]) -> None:
+        self.app = app
+        self.upstreams = upstreams
+        self.platform = platform.Platform()
+        self.run: asyncio.Task[None]
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection as a caller."""
+        return await asyncio.open_connection("127.0.0.1", self.app.callers.listener.port)
+
+    async def call(self, raw: bytes) -> tuple[int, dict[str, str], Any]:
+        """Send bytes on a new connection and return the first answer."""
+        reader, writer = await self.connect()
+        writer.write(raw)
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+def post(path: str, body: Any, *headers: str) -> bytes:
+    """Return a POST request; bytes are sent as they are."""
+    raw = body if isinstance(body, bytes) else orjson.dumps(body)
+    lines = [f"POST {path} HTTP/1.1", "Host: x", *headers, f"Content-Length: {len(raw)}"]
+    if not any(line.lower().startswith("content-type") for line in headers):
+        lines.append("Content-Type: application/json")
+    return "\r\n".join([*lines, "", ""]).encode() + raw
+
+
+def search(**body: Any) -> bytes:
+    """Return a search request."""
+    values = {"query": "velvet", "deadline_ms": 4_000, **body}
+    return post("/v1/fronts/booking/search", values)
+
+
+async def read_answer(reader: asyncio.StreamReader) -> tuple[int, dict[str, str], Any]:
+    """Read one HTTP answer with a JSON body; header names in lower case."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in head[1:] if line)
+    body = await reader.readexactly(int(headers["content-length"]))
+    return int(head[0].split()[1]), headers, orjson.loads(body)
+
+
+async def until(condition: Callable[[], Any]) -> None:
+    """Wait for a condition; the test run's own time limit ends a wait in vain."""
+    while not condition():
+        await asyncio.sleep(0.002)
+
+
+@asynccontextmanager
+async def serving(is_platform_up: bool = True, **settings: Any) -> AsyncIterator[Served]:
+    """Run an instance that is ready; it is shut down at the end."""
+    async with AsyncExitStack() as stack:
+        names = [f"{name}-s{number}" for name in SERVICES for number in range(2)]
+        upstreams = [
+            upstream.Upstream(
+                name, upstream.Behaviour(service=name[:6], services=SERVICES, slots=64)
+            )
+            for name in names
+        ]
+        ports = [await _start(stack, upstream.application(item)) for item in upstreams]
+        document = _definitions(ports)
+        app_settings = load_settings({**SETTINGS, **settings})
+        served = Served(Application(app_settings), upstreams)
+        platform_port = await _start(stack, platform.application(served.platform))
+        served.app.settings = app_settings.model_copy(
+            update={"platform_address": f"127.0.0.1:{platform_port}"}
+        )
+        added = DefinitionsModel.model_validate(document)
+        note = seal_note(None, added, DefinitionsModel(), WithdrawnModel()).unwrap()
+        served.platform.note.put(note)
+        served.run = asyncio.create_task(served.app.run())
+        state = served.app.state
+        await until(lambda: state.shard_maps_by_snapshot and len(state.servers_by_id) == 4)
+        await until(lambda: all(item.snapshots for item in state.servers_by_id.values()))
+        if not is_platform_up:
+            served.platform.is_down = True
+            served.platform.note.changed.set()
+        try:
+            yield served
+        finally:
+            for item in upstreams:
+                item.behaviour.service_ms = 1.0
+            served.app.shut_down()
+            await served.run
+
+
+def _definitions(ports: list[int]) -> dict[str, Any]:
+    document = definitions(servers=2, deadline_max_ms=5_000)
+    remaining = iter(ports)
+    for service in document["services"]:
+        for server in service["servers"]:
+            server["address"] = f"127.0.0.1:{next(remaining)}"
+    return document
+
+
+async def _start(stack: AsyncExitStack, app: web.Application) -> int:
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    return int(runner.addresses[0][1])
--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -11,11 +11,20 @@
 from turmerictiller import effects
 from turmerictiller.callers import CallerServer
 from turmerictiller.clock import Clock
-from turmerictiller.events import Event, ShutdownRequested, Tick
+from turmerictiller.events import (
+    CallersLeft,
+    Event,
+    RunArrived,
+    SearchArrived,
+    ShutdownRequested,
+    Tick,
+    TicketRequested,
+)
+from turmerictiller.lifecycle import is_leaving
 from turmerictiller.logs import part_logger
 from turmerictiller.operators import operator_application
 from turmerictiller.platform_client import PlatformClient
-from turmerictiller.reducer import reduce
+from turmerictiller.reducer import recover, reduce
 from turmerictiller.state import new_state
 from turmerictiller.state_dump import dump_state, health
 from turmerictiller.upstreams import UpstreamClient
@@ -35,20 +44,48 @@
         self.settings = settings
         self.clock = Clock()
         self.state = new_state(settings)
-        self.callers = CallerServer(settings, self.clock, self.dispatch, lambda: health(self.state))
+        self.started = asyncio.Event()
+        self.callers = CallerServer(
+            settings,
+            self.clock,
+            self.dispatch,
+            lambda: health(self.state),
+            lambda: is_leaving(self.state),
+        )
         self._upstreams: UpstreamClient
         self._platform: PlatformClient
         self._runners: list[web.AppRunner] = []
         self._wake: asyncio.TimerHandle | None = None
         self._stopped = asyncio.Event()
+        self._closing: asyncio.Task[None] | None = None
         self._run_by_effect: dict[type, Callable[[Any], None]] = {}
 
     def dispatch(self, event: Event) -> None:
-        """Reduce one event and carry out its effects."""
-        for effect in reduce(self.state, event):
+        """Reduce one event and carry out its effects; a fault ends only the call concerned."""
+        try:
+            new = reduce(self.state, event)
+        except Exception as error:
+            self._carry_out(recover(self.state))
+            self._on_fault(event, error)
+            return
+        self._carry_out(new)
+
+    def _carry_out(self, new: list[effects.Effect]) -> None:
+        for effect in new:
             run = self._run_by_effect.get(type(effect))
-            if run is not None:
+            if run is None:
+                continue
+            try:
                 run(effect)
+            except Exception as error:
+                log("An effect failed.", effect=type(effect).__name__, error=repr(error))
+
+    def _on_fault(self, event: Event, error: Exception) -> None:
+        self.callers.counters["faults"] += 1
+        log("An event could not be handled.", event=type(event).__name__, error=repr(error))
+        if isinstance(event, SearchArrived | TicketRequested | RunArrived):
+            self.callers.fail(event.call_id)
+        self.callers.fail_lost_searches(self.state.searches_by_id)
 
     async def run(self) -> None:
         """Serve until the process is told to stop."""
@@ -57,16 +94,28 @@
         self._run_by_effect = self._effect_table()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_signal)
-        await self._listen(self.callers.application(), self.settings.caller_address, True)
-        operators = operator_application(lambda: dump_state(self.state))
-        await self._listen(operators, self.settings.operator_address, False)
+            loop.add_signal_handler(number, self.shut_down)
+        await self.callers.listener.open(self.callers.application())
+        await self._listen(operator_application(self._dump), self.settings.operator_address)
         self.dispatch(Tick(self.clock.now_ms()))
         self._platform.start()
         log("Started.", caller_address=self.settings.caller_address)
+        self.started.set()
         await self._stopped.wait()
         await self._close()
 
+    def shut_down(self) -> None:
+        """Begin a graceful shutdown; a second call changes nothing."""
+        self.dispatch(ShutdownRequested(self.clock.now_ms()))
+
+    def _dump(self) -> dict[str, Any]:
+        listener = self.callers.listener
+        return {
+            **dump_state(self.state),
+            "caller_connections": len(listener.connections),
+            "caller_counters": dict(sorted(self.callers.counters.items())),
+        }
+
     def _effect_table(self) -> dict[type, Callable[[Any], None]]:
         return {
             effects.SendSearch: self._upstreams.send_search,
@@ -80,12 +129,17 @@
             effects.ReplyOutcome: self.callers.reply,
             effects.WakeAt: self._set_wake,
             effects.WriteLog: self._write_log,
+            effects.CloseListeners: self._close_listeners,
             effects.Stop: lambda effect: self._stopped.set(),
         }
 
-    def _on_signal(self) -> None:
-        self.dispatch(ShutdownRequested(self.clock.now_ms()))
-        self._stopped.set()
+    def _close_listeners(self, effect: effects.CloseListeners) -> None:
+        self.callers.listener.close_listening()
+        self._closing = asyncio.get_running_loop().create_task(self._wait_for_callers())
+
+    async def _wait_for_callers(self) -> None:
+        await self.callers.listener.wait_until_left()
+        self.dispatch(CallersLeft(self.clock.now_ms()))
 
     def _set_wake(self, effect: effects.WakeAt) -> None:
         if self._wake is not None:
@@ -101,14 +155,18 @@
     def _write_log(self, effect: effects.WriteLog) -> None:
         part_logger(effect.part)(effect.message, **effect.fields)
 
-    async def _listen(self, app: web.Application, address: str, is_caller: bool) -> None:
+    async def _listen(self, app: web.Application, address: str) -> None:
         host, _, port = address.rpartition(":")
-        runner = web.AppRunner(app, handler_cancellation=is_caller, access_log=None)
+        runner = web.AppRunner(app, access_log=None)
         await runner.setup()
         await web.TCPSite(runner, host.strip("[]"), int(port)).start()
         self._runners.append(runner)
 
     async def _close(self) -> None:
+        if self._closing is not None:
+            self._closing.cancel()
+        self.callers.give_up()
+        await self.callers.listener.close()
         for runner in self._runners:
             await runner.cleanup()
         await self._platform.close()
--- a/turmerictiller/callers.py
+++ b/turmerictiller/callers.py
@@ -4,51 +4,38 @@
 
 import asyncio
 import itertools
-from typing import TYPE_CHECKING, Annotated, Any
+from collections import Counter
+from typing import TYPE_CHECKING, Any
 
-import orjson
 from aiohttp import web
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from turmerictiller.effects import (
-    ReplyOutcome,
-    ReplyRefusal,
-    ReplySearch,
-    ReplyTicket,
+from turmerictiller.caller_answers import (
+    Reply,
+    half_closed,
+    headers_too_large,
+    internal_refusal,
+    json_response,
+    refusal_of,
+    refusal_response,
+    reply_response,
 )
-from turmerictiller.errors import Refusal, RefusalType
+from turmerictiller.caller_bodies import RunBody, SearchBody, TicketBody, parse_json
+from turmerictiller.caller_connections import CallerConnection, CallerListener
+from turmerictiller.effects import ReplyRefusal
+from turmerictiller.errors import Ran, Refusal, RefusalType
 from turmerictiller.events import CallerGone, Event, RunArrived, SearchArrived, TicketRequested
+from turmerictiller.logs import part_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Container
 
     from turmerictiller.clock import Clock
     from turmerictiller.config import Settings
 
-Reply = ReplySearch | ReplyRefusal | ReplyTicket | ReplyOutcome
+# The reducer answers by the deadline; only a fault leaves a call open beyond this.
+ANSWER_SLACK_MS = 1_000
 
-
-class SearchBody(BaseModel):
-    """Body of a search."""
-
-    model_config = ConfigDict(extra="forbid", strict=True)
-
-    query: str
-    k: int | None = None
-    deadline_ms: Annotated[float, Field(allow_inf_nan=False)] | None = None
-    priority: str | None = None
-    cursor: str | None = None
-
-
-class RunBody(BaseModel):
-    """Body of a non-idempotent request."""
-
-    model_config = ConfigDict(extra="forbid", strict=True)
-
-    ticket: str
-    action: str
-    body: dict[str, Any] = {}
-    deadline_ms: Annotated[float, Field(allow_inf_nan=False)] | None = None
+log = part_logger("callers")
 
 
 class CallerServer:
@@ -60,6 +47,7 @@
         clock: Clock,
         dispatch: Callable[[Event], None],
         health: Callable[[], dict[str, Any]],
+        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -67,6 +55,9 @@
         self._health = health
         self._call_ids = itertools.count(1)
         self._replies_by_call: dict[int, asyncio.Future[Reply]] = {}
+        self._search_calls: set[int] = set()
+        self.counters: Counter[str] = Counter()
+        self.listener = CallerListener(settings, is_leaving, self.count)
 
     def application(self) -> web.Application:
         """Return the aiohttp application."""
@@ -74,165 +65,187 @@
             client_max_size=self._settings.max_body_bytes, middlewares=[self._errors]
         )
         app.router.add_get("/health", self._on_health)
-        app.router.add_post("/v1/fronts/{front}/search", self._on_search)
-        app.router.add_post("/v1/fronts/{front}/tickets", self._on_ticket)
-        app.router.add_post("/v1/fronts/{front}/run", self._on_run)
+        for name, handler in (
+            ("search", self._on_search),
+            ("tickets", self._on_ticket),
+            ("run", self._on_run),
+        ):
+            path = f"/v1/fronts/{{front}}/{name}"
+            app.router.add_post(path, handler, expect_handler=self._on_expect)
         return app
 
+    def count(self, refusal: Refusal) -> Refusal:
+        """Count a refusal that the reducer does not see."""
+        self.counters[f"refusals.{refusal.type.value}"] += 1
+        return refusal
+
     def reply(self, reply: Reply) -> None:
         """Hand a reply to the call that waits for it."""
         future = self._replies_by_call.get(reply.call_id)
         if future is not None and not future.done():
             future.set_result(reply)
 
+    def fail(self, call_id: int) -> None:
+        """Answer a call that a fault of this instance has ended."""
+        if call_id in self._replies_by_call:
+            self.reply(ReplyRefusal(call_id, self.count(internal_refusal())))
+
+    def fail_lost_searches(self, known: Container[int]) -> None:
+        """Answer the searches that the reducer no longer knows."""
+        for call_id in list(self._search_calls):
+            if call_id not in known and not self._replies_by_call[call_id].done():
+                self.fail(call_id)
+
+    def give_up(self) -> None:
+        """Answer all calls that are still open at the end of the process."""
+        message = "the instance ended before the answer"
+        for call_id in list(self._replies_by_call):
+            refusal = Refusal(RefusalType.SHUTTING_DOWN, message, Ran.MAYBE, 0)
+            self.reply(ReplyRefusal(call_id, self.count(refusal)))
+
     async def _on_health(self, request: web.Request) -> web.Response:
         health = self._health()
-        return _json(200 if health["ready"] else 503, health)
+        return json_response(200 if health["ready"] else 503, health)
 
     async def _on_search(self, request: web.Request) -> web.Response:
         at = self._clock.now_ms()
         body = SearchBody.model_validate(await self._json_body(request))
-        return await self._call(
-            lambda call_id: SearchArrived(
-                at=at,
-                call_id=call_id,
-                front=request.match_info["front"],
-                query=body.query,
-                k=body.k,
-                deadline_ms=body.deadline_ms,
-                priority=body.priority,
-                cursor=body.cursor,
-                caller=request.remote or "",
-            )
+        call_id = next(self._call_ids)
+        event = SearchArrived(
+            at=at,
+            call_id=call_id,
+            front=request.match_info["front"],
+            query=body.query,
+            k=body.k,
+            deadline_ms=body.deadline_ms,
+            priority=body.priority,
+            cursor=body.cursor,
+            caller=request.remote or "",
         )
+        self._search_calls.add(call_id)
+        try:
+            return await self._call(request, event)
+        finally:
+            self._search_calls.discard(call_id)
 
     async def _on_ticket(self, request: web.Request) -> web.Response:
         at = self._clock.now_ms()
-        await self._json_body(request, required=False)
+        TicketBody.model_validate(await self._json_body(request, required=False))
         front = request.match_info["front"]
-        return await self._call(lambda call_id: TicketRequested(at, call_id, front))
+        return await self._call(request, TicketRequested(at, next(self._call_ids), front))
 
     async def _on_run(self, request: web.Request) -> web.Response:
         at = self._clock.now_ms()
         raw = await self._json_body(request)
         if isinstance(raw, dict) and "ticket" not in raw:
-            return refusal_response(Refusal(RefusalType.TICKET_REQUIRED, "ask for a ticket first"))
+            refusal = Refusal(RefusalType.TICKET_REQUIRED, "ask for a ticket first")
+            return refusal_response(self.count(refusal))
         body = RunBody.model_validate(raw)
-        return await self._call(
-            lambda call_id: RunArrived(
-                at=at,
-                call_id=call_id,
-                front=request.match_info["front"],
-                ticket=body.ticket,
-                action=body.action,
-                body=body.body,
-                deadline_ms=body.deadline_ms,
-            )
+        event = RunArrived(
+            at=at,
+            call_id=next(self._call_ids),
+            front=request.match_info["front"],
+            ticket=body.ticket,
+            action=body.action,
+            body=body.body,
+            deadline_ms=body.deadline_ms,
         )
+        return await self._call(request, event)
+
+    async def _on_expect(self, request: web.Request) -> None:
+        if request.headers.get("Expect", "").lower() != "100-continue":
+            raise web.HTTPExpectationFailed
+        # A body that is refused by its length is not asked for.
+        if not self._is_too_long(request):
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            request.writer.output_size = 0
+
+    def _is_too_long(self, request: web.Request) -> bool:
+        return (request.content_length or 0) > self._settings.max_body_bytes
 
     async def _json_body(self, request: web.Request, required: bool = True) -> Any:
-        timeout_s = self._settings.read_timeout_ms / 1000
-        raw = await asyncio.wait_for(request.read(), timeout_s)
+        _check_media_type(request)
+        if self._is_too_long(request):
+            limit = self._settings.max_body_bytes
+            raise web.HTTPRequestEntityTooLarge(limit, request.content_length or 0)
+        if request.content.is_eof():
+            raw = await request.read()
+        elif isinstance(request.protocol, CallerConnection) and request.protocol.is_half_closed:
+            raise web.RequestPayloadError("the body is not complete")
+        else:
+            raw = await asyncio.wait_for(request.read(), self._settings.read_timeout_ms / 1000)
         if not raw and not required:
             return {}
-        return orjson.loads(raw)
-
-    async def _call(self, event_for: Callable[[int], Event]) -> web.Response:
-        call_id = next(self._call_ids)
-        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        return parse_json(raw)
+
+    async def _call(
+        self, request: web.Request, event: SearchArrived | TicketRequested | RunArrived
+    ) -> web.Response:
+        call_id = event.call_id
+        connection = request.protocol
+        if isinstance(connection, CallerConnection):
+            if connection.is_half_closed:
+                return refusal_response(self.count(half_closed(Ran.NO)))
+            connection.on_half_close = lambda: self._on_half_close(call_id)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Reply] = loop.create_future()
         self._replies_by_call[call_id] = future
+        limit_s = (self._settings.max_deadline_ms + ANSWER_SLACK_MS) / 1000
+        timer = loop.call_later(limit_s, self._on_unanswered, call_id)
         try:
-            self._dispatch(event_for(call_id))
-            return _response(await future)
+            self._dispatch(event)
+            return reply_response(await future)
         except asyncio.CancelledError:
             self._dispatch(CallerGone(self._clock.now_ms(), call_id))
             raise
         finally:
+            timer.cancel()
             del self._replies_by_call[call_id]
+            if isinstance(connection, CallerConnection):
+                connection.on_half_close = None
+
+    def _on_unanswered(self, call_id: int) -> None:
+        log("A call was left without an answer.", call_id=call_id)
+        self._dispatch(CallerGone(self._clock.now_ms(), call_id))
+        self.fail(call_id)
+
+    def _on_half_close(self, call_id: int) -> None:
+        if self._replies_by_call[call_id].done():
+            return
+        self._dispatch(CallerGone(self._clock.now_ms(), call_id))
+        self.reply(ReplyRefusal(call_id, self.count(half_closed(Ran.MAYBE))))
 
     @web.middleware
     async def _errors(self, request: web.Request, handler: Any) -> web.StreamResponse:
         try:
+            if _header_bytes(request) > self._settings.max_header_bytes:
+                return refusal_response(self.count(headers_too_large()))
             response: web.StreamResponse = await handler(request)
             return response
-        except ValidationError as error:
-            details = [
-                {"place": ".".join(str(part) for part in item["loc"]), "problem": item["msg"]}
-                for item in error.errors(include_url=False, include_input=False)
-            ]
-            refusal = Refusal(
-                RefusalType.BAD_REQUEST, "the body has the wrong form", details={"errors": details}
-            )
-        except orjson.JSONDecodeError:
-            refusal = Refusal(RefusalType.BAD_REQUEST, "the body is not JSON")
-        except TimeoutError:
-            refusal = Refusal(RefusalType.TIMED_OUT_READING, "the body did not arrive in time")
-        except web.HTTPRequestEntityTooLarge:
-            refusal = Refusal(RefusalType.BODY_TOO_LARGE, "the body is too large")
-        except web.HTTPNotFound:
-            refusal = Refusal(RefusalType.NOT_FOUND, "there is nothing at this path")
-        except web.HTTPMethodNotAllowed:
-            refusal = Refusal(RefusalType.METHOD_NOT_ALLOWED, "this path takes another method")
-        return refusal_response(refusal)
-
-
-def _response(reply: Reply) -> web.Response:
-    match reply:
-        case ReplySearch():
-            return _json(200, search_body(reply))
-        case ReplyRefusal():
-            return refusal_response(reply.refusal)
-        case ReplyTicket():
-            return _json(200, {"ticket": reply.ticket, "expires_in_ms": reply.expires_in_ms})
-        case ReplyOutcome():
-            body = {"outcome": reply.outcome, "answer": reply.answer}
-            if reply.reason:
-                body["reason"] = reply.reason
-            return _json(200, body, reply.retry_after_ms)
-
-
-def search_body(reply: ReplySearch) -> dict[str, Any]:
-    """Return the JSON body of an answered search."""
-    coverage = reply.coverage
-    return {
-        "hits": [
-            {"score": hit.score, "shard": hit.shard, "id": hit.id, "fields": hit.fields}
-            for hit in reply.hits
-        ],
-        "snapshot": reply.snapshot,
-        "coverage": {
-            "share": coverage.share,
-            "merged": coverage.merged,
-            "total": coverage.total,
-            "missing": [
-                {"shard": shard.shard, "service": shard.service, "reason": shard.reason}
-                for shard in coverage.missing
-            ],
-        },
-        "cursor": reply.cursor,
-        "took_ms": round(reply.took_ms, 3),
-    }
-
-
-def refusal_response(refusal: Refusal) -> web.Response:
-    """Return the HTTP answer for a refusal."""
-    body: dict[str, Any] = {
-        "error": refusal.type.value,
-        "message": refusal.message,
-        "ran": refusal.ran.value,
-        "retry_after_ms": refusal.retry_after_ms,
-        **refusal.details,
-    }
-    return _json(refusal.http_status, body, refusal.retry_after_ms)
-
-
-def _json(status: int, body: Any, retry_after_ms: int | None = None) -> web.Response:
-    headers = {}
-    if retry_after_ms is not None:
-        headers["Retry-After"] = str(-(-retry_after_ms // 1000))
-    return web.Response(
-        status=status,
-        body=orjson.dumps(body),
-        content_type="application/json",
-        headers=headers,
-    )
+        except Exception as error:  # Whatever a handler raises ends one call only.
+            return self._error_response(error)
+
+    def _error_response(self, error: Exception) -> web.Response:
+        if isinstance(error, ConnectionError):
+            raise error
+        refusal = self.count(refusal_of(error))
+        if refusal.type is RefusalType.INTERNAL:
+            log("A handler failed.", error=type(error).__name__, reason=str(error))
+        headers = {}
+        if isinstance(error, web.HTTPMethodNotAllowed):
+            headers["Allow"] = ", ".join(sorted(error.allowed_methods))
+        return refusal_response(refusal, headers)
+
+
+def _header_bytes(request: web.Request) -> int:
+    return sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+
+
+def _check_media_type(request: web.Request) -> None:
+    media_type = request.content_type if "Content-Type" in request.headers else ""
+    charset = (request.charset or "utf-8").lower()
+    encoding = request.headers.get("Content-Encoding", "identity").lower()
+    if media_type not in ("", "application/json") or charset not in ("utf-8", "utf8", "us-ascii"):
+        raise web.HTTPUnsupportedMediaType
+    if encoding != "identity":
+        raise web.HTTPUnsupportedMediaType
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -50,7 +50,14 @@
     max_caller_connections: int = Field(1_024, description="Connections of callers.", ge=1)
     max_peer_connections: int = Field(1_024, description="Connections of peers.", ge=1)
     max_trace_events: int = Field(5_000, description="Recent events kept for replay.", ge=0)
-    read_timeout_ms: float = Field(5_000, description="Time to read one call.", gt=0)
+    read_timeout_ms: float = Field(
+        5_000,
+        description="Time for a caller to send headers, to send a body or to take an answer.",
+        gt=0,
+    )
+    caller_idle_ms: float = Field(
+        75_000, description="Idle time after which a caller's connection is closed.", gt=0
+    )
 
     ticket_lifetime_ms: float = Field(600_000, description="Life of a ticket.", gt=0)
     run_deadline_ms: float = Field(2_000, description="Default deadline of a run request.", gt=0)
--- a/turmerictiller/errors.py
+++ b/turmerictiller/errors.py
@@ -29,6 +29,10 @@
     """A paging cursor that this system did not issue."""
 
 
+class BodyError(TurmericError):
+    """A caller's body that is not JSON or can not be passed on unchanged."""
+
+
 class TraceError(TurmericError):
     """A trace file that can not be read or replayed."""
 
@@ -54,6 +58,12 @@
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     TIMED_OUT_READING = "timed_out_reading"
+    UNSUPPORTED_MEDIA_TYPE = "unsupported_media_type"
+    EXPECTATION_FAILED = "expectation_failed"
+    MALFORMED_HTTP = "malformed_http"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    HALF_CLOSED = "half_closed"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
     INTERNAL = "internal"
 
 
@@ -76,6 +86,12 @@
     RefusalType.NOT_FOUND: 404,
     RefusalType.METHOD_NOT_ALLOWED: 405,
     RefusalType.TIMED_OUT_READING: 408,
+    RefusalType.UNSUPPORTED_MEDIA_TYPE: 415,
+    RefusalType.EXPECTATION_FAILED: 417,
+    RefusalType.MALFORMED_HTTP: 400,
+    RefusalType.HEADERS_TOO_LARGE: 431,
+    RefusalType.HALF_CLOSED: 400,
+    RefusalType.TOO_MANY_CONNECTIONS: 503,
     RefusalType.INTERNAL: 500,
 }
 
--- a/turmerictiller/lifecycle.py
+++ b/turmerictiller/lifecycle.py
@@ -137,7 +137,8 @@
     life = state.lifecycle
     if life.phase is not ProcessPhase.CLOSING:
         return
-    in_flight = bool(state.searches_by_id or state.attempts_by_id)
+    runs = any(attempt.is_run for attempt in state.attempts_by_id.values())
+    in_flight = runs or bool(state.searches_by_id)
     is_quiet = state.now - life.last_call_at >= state.settings.quiet_close_ms
     if is_quiet and not in_flight and not life.listeners_closed:
         life.listeners_closed = True
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -48,6 +48,14 @@
     return effects
 
 
+def recover(state: State) -> list[Effect]:
+    """Return the effects that an interrupted event left behind, with the wake-up asked for again."""
+    state.wake_at = None
+    _request_wake(state)
+    effects, state.out = state.out, []
+    return effects
+
+
 def _run_due_timers(state: State) -> None:
     while (due := state.timers.pop_due(state.now)) is not None:
         kind, key = due
