Fuzz the callers' border over real sockets

Cause: the listed cases of bad input do not show that nothing else escapes. Ruled out: calling the handler without a socket, because it leaves out HTTP parsing and half-closed connections. Change: random JSON values, bytes, cut requests and random heads are sent to a running instance; every answer must be JSON with a known error other than internal.

--- /dev/null
+++ b/tests/test_caller_bodies.py
@@ -0,0 +1,83 @@
+"""Fuzz test of what callers send."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.serving import post, read_answer, serving
+from turmerictiller.errors import Refusal, RefusalType
+from turmerictiller.events import RunArrived, TicketRequested
+from turmerictiller.reducer import HANDLER_BY_EVENT
+from turmerictiller.searches import refuse
+
+if TYPE_CHECKING:
+    import pytest
+
+    from turmerictiller.state import State
+
+FRONT = "/v1/fronts/booking"
+NUMBERS = st.floats() | st.integers() | st.sampled_from([10**400, -(2**64), 2**63])
+JSON = st.recursive(
+    st.none() | st.booleans() | NUMBERS | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+)
+SEARCH = st.fixed_dictionaries(
+    {"query": st.text() | JSON},
+    optional={name: JSON for name in ("k", "deadline_ms", "priority", "cursor", "x")},
+)
+RUN = st.fixed_dictionaries(
+    {"ticket": st.text() | JSON, "action": st.text() | JSON},
+    optional={name: JSON for name in ("body", "deadline_ms", "x")},
+)
+TEXTS = (SEARCH | RUN | JSON).map(lambda value: json.dumps(value).encode()) | st.binary()
+PATHS = st.sampled_from([f"{FRONT}/{name}" for name in ("search", "run", "tickets", "")])
+POSTS = st.builds(post, PATHS, TEXTS)
+HEADS = st.binary() | st.binary().map(lambda line: b"GET /health HTTP/1.1\r\n" + line)
+KNOWN = {type_.value for type_ in RefusalType}
+
+
+def _cut(raw: bytes) -> bytes:
+    return raw[:-1]
+
+
+def _refuse(state: State, event: RunArrived | TicketRequested) -> None:
+    refuse(state, event.call_id, Refusal(RefusalType.UNKNOWN_ACTION, "no such action"))
+
+
+def test_every_answer_is_json_with_a_known_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against input that escapes as another answer, an internal error or none."""
+    for kind in (RunArrived, TicketRequested):
+        handler = HANDLER_BY_EVENT.get(kind, _refuse)
+        monkeypatch.setitem(HANDLER_BY_EVENT, kind, handler)
+    with asyncio.Runner() as runner:
+        context = serving(max_deadline_ms=500)
+        served = runner.run(context.__aenter__())
+
+        async def answers_to(raw: bytes, is_whole: bool) -> list[Any]:
+            reader, writer = await served.connect()
+            writer.write(raw)
+            answers = [await read_answer(reader)] if is_whole else []
+            writer.write_eof()
+            rest = asyncio.StreamReader()
+            rest.feed_data(await reader.read())
+            rest.feed_eof()
+            while not rest.at_eof():
+                answers.append(await read_answer(rest))
+            writer.close()
+            return answers
+
+        @settings(max_examples=400)
+        @given(st.tuples(POSTS, st.just(True)) | st.tuples(POSTS.map(_cut) | HEADS, st.just(False)))
+        def check(case: tuple[bytes, bool]) -> None:
+            for status, _, body in runner.run(answers_to(*case)):
+                assert status == 200 or body["error"] in KNOWN - {"internal"}
+            assert not served.app.callers.counters["faults"]
+
+        check()
+        assert not served.run.done()
+        runner.run(context.__aexit__(None, None, None))
