--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -197,6 +197,27 @@
 }
 
 
+def test_requests_at_the_limit_are_refused() -> None:
+    """Guards against a reset of requests that a paused process has not read in time."""
+
+    async def run() -> None:
+        async with serving(**LONG_NOTICE) as served:
+            kept = await served.connect()
+            await until(lambda: served.app.callers.listener.connections)
+            served.app.shut_down()
+            sock = socket.create_connection(("127.0.0.1", served.app.callers.listener.port))
+            sock.sendall(search())
+            sock.setblocking(False)
+            kept[1].write(search())
+            served.skip_to(LIMIT)
+            for reader, writer in (kept, await asyncio.open_connection(sock=sock)):
+                _, _, body = await read_answer(reader)
+                assert (body["error"], body["ran"]) == ("shutting_down", "no")
+                writer.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("raw", [search()[:-1], b"GET /health HTTP/1.1\r\n"])
 def test_shutdown_ends_at_its_limit(raw: bytes) -> None:
     """Guards against a caller that never ends its request and so holds up a shutdown."""
--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -166,6 +166,8 @@
     async def _close(self) -> None:
         if self._closing is not None:
             self._closing.cancel()
+        self.callers.listener.close_listening()
+        await self.callers.listener.read_out()
         self.callers.give_up()
         await self.callers.listener.close()
         for runner in self._runners:
--- a/turmerictiller/caller_answers.py
+++ b/turmerictiller/caller_answers.py
@@ -169,7 +169,7 @@
     status = HTTPStatus(refusal.http_status)
     lines = [
         f"HTTP/1.1 {status.value} {status.phrase}",
-        "Content-Type: application/json; charset=utf-8",
+        "Content-Type: application/json",
         f"Content-Length: {len(body)}",
         "Connection: close",
     ]
--- a/turmerictiller/caller_connections.py
+++ b/turmerictiller/caller_connections.py
@@ -33,6 +33,7 @@
 MAX_HEADERS = 100
 LINGER_S = 1.0
 SWEEP_S = 0.05
+READ_OUT_TURNS = 20
 RETRY_AFTER_MS = 1_000
 
 
@@ -149,7 +150,7 @@
         """Return whether no request is there and none came for some time."""
         if not self._is_waiting() or self._header_timer is not None or self._discarding:
             return False
-        return self._loop.time() - self._active_at >= quiet_s and not self._has_unread()
+        return self._loop.time() - self._active_at >= quiet_s and not self.has_unread()
 
     def _is_waiting(self) -> bool:
         return self._waiter is not None and not self._waiter.done() and not self._messages
@@ -161,9 +162,10 @@
             return False
         if self.is_half_closed:
             return True
-        return self._listener.is_leaving() and not self._has_unread()
+        return self._listener.is_leaving() and not self.has_unread()
 
-    def _has_unread(self) -> bool:
+    def has_unread(self) -> bool:
+        """Return whether bytes or the end of the stream wait in the socket."""
         if self.transport is None:
             return False
         poll = select.poll()
@@ -296,6 +298,13 @@
                     connection.force_close()
             await asyncio.sleep(SWEEP_S)
 
+    async def read_out(self) -> None:
+        """Let requests that wait in sockets be read, so that they get a refusal and no reset."""
+        for _ in range(READ_OUT_TURNS):
+            await asyncio.sleep(0)
+            if not self._accepting and not any(item.has_unread() for item in self.connections):
+                return
+
     async def close(self) -> None:
         """End all connections."""
         self.close_listening()
