--- a/tests/serving.py
+++ b/tests/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
@@ -12,7 +13,7 @@
 from standins import platform, upstream
 from tests.reducing import definitions
 from turmerictiller.application import Application
-from turmerictiller.config import load_settings
+from turmerictiller.config import Settings, load_settings
 from turmerictiller.events import Tick
 from turmerictiller.lifecycle import NOTICE_OVER
 from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
@@ -48,6 +49,11 @@
         self.platform = platform.Platform()
         self.run: asyncio.Task[None]
 
+    def slow_down(self, service_ms: float = 3_600_000.0) -> None:
+        """Make every upstream take this long."""
+        for item in self.upstreams:
+            item.behaviour.service_ms = service_ms
+
     def skip_to(self, step: str) -> None:
         """Let the time of a step of the shutdown come now."""
         now = self.app.clock.now_ms()
@@ -129,13 +135,32 @@
         try:
             yield served
         finally:
-            for item in upstreams:
-                item.behaviour.service_ms = 1.0
+            served.slow_down(1.0)
             served.app.shut_down()
             served.skip_to(NOTICE_OVER)
             await served.run
 
 
+def on_instance(**settings: Any) -> Callable[[Callable[..., Any]], Callable[..., None]]:
+    """Run an async test on an instance; parameters named as settings are settings as well."""
+
+    def decorate(test: Callable[..., Any]) -> Callable[..., None]:
+        def run(**values: Any) -> None:
+            async def serve() -> None:
+                parameters = {key: values[key] for key in values if key in Settings.model_fields}
+                async with serving(**settings, **parameters) as served:
+                    await test(served, **values)
+
+            asyncio.run(serve())
+
+        run.__name__, run.__doc__ = test.__name__, test.__doc__
+        parameters = list(inspect.signature(test).parameters.values())[1:]
+        run.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
+        return run
+
+    return decorate
+
+
 def _definitions(ports: list[int], max_deadline_ms: float) -> dict[str, Any]:
     document = definitions(servers=2, deadline_max_ms=max_deadline_ms)
     remaining = iter(ports)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -35,8 +35,8 @@
     return [reply.refusal.type for reply in harness.take(effects.ReplyRefusal)]
 
 
-def test_draining_is_not_ready_but_serves_searches() -> None:
-    """Guards against calls refused before the balancer knows of the shutdown."""
+def test_calls_are_served_by_phase() -> None:
+    """Guards against calls refused before the balancer knows, and tickets that outlive the owner."""
     harness = _harness()
     assert health(harness.state)["ready"]
     _shut_down(harness)
@@ -47,18 +47,12 @@
         harness.answer(attempt)
     assert len(harness.take(effects.ReplySearch)) == 1
     assert harness.take(effects.CloseListeners) == []
-
-
-def test_draining_issues_no_tickets_and_closing_starts_no_runs() -> None:
-    """Guards against a ticket whose owner is gone before it can be used."""
-    harness = _harness()
-    _shut_down(harness)
-    harness.send(events.TicketRequested(harness.at, 1, "booking"))
+    harness.send(events.TicketRequested(harness.at, 2, "booking"))
     assert _refusals(harness) == [RefusalType.SHUTTING_DOWN]
-    run = events.RunArrived(harness.at, 2, "booking", "t", "pickup", {})
+    run = events.RunArrived(harness.at, 3, "booking", "t", "pickup", {})
     harness.send(run)
     assert RefusalType.SHUTTING_DOWN not in _refusals(harness)
-    harness.advance(NOTICE_MS)
+    harness.advance(1)
     harness.send(run)
     assert _refusals(harness) == [RefusalType.SHUTTING_DOWN]
 
@@ -90,15 +84,8 @@
     assert len(harness.search(2, deadline_ms=300.0)) == 2
 
 
-STEPS = st.lists(
-    st.one_of(
-        st.just("shutdown"),
-        st.just("callers_left"),
-        st.just("search"),
-        st.integers(1, 700),
-    ),
-    max_size=25,
-)
+NAMES = st.sampled_from(["shutdown", "callers_left", "search"])
+STEPS = st.lists(NAMES | st.integers(1, 700), max_size=25)
 
 
 @given(STEPS)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tests.serving import Served, post, read_answer, search, serving, until
+from tests.serving import Served, on_instance, post, read_answer, search, until
 from turmerictiller.lifecycle import LIMIT, NOTICE_OVER
 from turmerictiller.state import ProcessPhase
 
@@ -49,143 +49,120 @@
     is_out.set()
 
 
-def test_shutdown_under_load_cuts_off_nothing() -> None:
+@on_instance(**LONG_NOTICE)
+async def test_shutdown_under_load_cuts_off_nothing(served: Served) -> None:
     """Guards against calls without a full answer while the balancer learns of a shutdown."""
-
-    async def run() -> None:
-        async with serving(**LONG_NOTICE) as served:
-            answers: list[Any] = []
-            is_out = asyncio.Event()
-            callers = [
-                asyncio.create_task(_keep_calling(served, is_out, answers)) for _ in range(CALLERS)
-            ]
-            watch = asyncio.create_task(_watch_health(served, is_out))
-            await until(lambda: len(answers) > 5 * CALLERS)
-            before = len(answers)
-            _terminate()
-            await asyncio.gather(*callers, watch)
-            assert len(answers) - before >= CALLERS * CALLS_AFTER_NOTICE
-            assert {status for status, _ in answers} == {200}
-            assert all(coverage["share"] == 1.0 for _, coverage in answers)
-
-    asyncio.run(run())
-
-
-def test_listening_socket_stays_open_for_the_notice_time() -> None:
+    answers: list[Any] = []
+    is_out = asyncio.Event()
+    callers = [asyncio.create_task(_keep_calling(served, is_out, answers)) for _ in range(CALLERS)]
+    watch = asyncio.create_task(_watch_health(served, is_out))
+    await until(lambda: len(answers) > 5 * CALLERS)
+    before = len(answers)
+    _terminate()
+    await asyncio.gather(*callers, watch)
+    assert len(answers) - before >= CALLERS * CALLS_AFTER_NOTICE
+    assert {status for status, _ in answers} == {200}
+    assert all(coverage["share"] == 1.0 for _, coverage in answers)
+
+
+@on_instance(**LONG_NOTICE, quiet_close_ms=0)
+async def test_listening_socket_stays_open_for_the_notice_time(served: Served) -> None:
     """Guards against refused connections before the balancer can know of the shutdown."""
-
-    async def run() -> None:
-        async with serving(**LONG_NOTICE, quiet_close_ms=0) as served:
-            served.app.shut_down()
-            for _ in range(20):
-                status, headers, _ = await served.call(search())
-                assert (status, headers["connection"]) == (200, "close")
-            assert (await served.call(post("/v1/fronts/booking/tickets", {})))[2] == {
-                "error": "shutting_down",
-                "message": "this instance is shutting down",
-                "ran": "no",
-                "retry_after_ms": 100,
-            }
-
-    asyncio.run(run())
+    served.app.shut_down()
+    for _ in range(20):
+        status, headers, _ = await served.call(search())
+        assert (status, headers["connection"]) == (200, "close")
+    assert (await served.call(post("/v1/fronts/booking/tickets", {})))[2] == {
+        "error": "shutting_down",
+        "message": "this instance is shutting down",
+        "ran": "no",
+        "retry_after_ms": 100,
+    }
 
 
 @pytest.mark.parametrize("quiet_close_ms", [0, 3_600_000])
-def test_request_on_a_kept_connection_after_the_notice(quiet_close_ms: float) -> None:
+@on_instance(**LONG_NOTICE)
+async def test_request_on_a_kept_connection_after_the_notice(
+    served: Served, quiet_close_ms: float
+) -> None:
     """Guards against a close that meets a request on a kept connection."""
-
-    async def run() -> None:
-        async with serving(**LONG_NOTICE, quiet_close_ms=quiet_close_ms) as served:
-            kept = [await served.connect() for _ in range(2)]
-            for reader, writer in kept:
-                writer.write(search())
-                assert "connection" not in (await read_answer(reader))[1]
-            _terminate()
-            await until(lambda: _phase(served) is ProcessPhase.DRAINING)
-            served.skip_to(NOTICE_OVER)
-            for reader, writer in kept if quiet_close_ms else kept[:1]:
-                writer.write(search())
-                status, headers, _ = await read_answer(reader)
-                assert (status, headers["connection"]) == (200, "close")
-            if quiet_close_ms:
-                served.skip_to(LIMIT)
-            assert await kept[1][0].read() == b""
-            for _, writer in kept:
-                writer.close()
-            await served.run
-
-    asyncio.run(run())
+    kept = [await served.connect() for _ in range(2)]
+    for reader, writer in kept:
+        writer.write(search())
+        assert "connection" not in (await read_answer(reader))[1]
+    _terminate()
+    await until(lambda: _phase(served) is ProcessPhase.DRAINING)
+    served.skip_to(NOTICE_OVER)
+    for reader, writer in kept if quiet_close_ms else kept[:1]:
+        writer.write(search())
+        status, headers, _ = await read_answer(reader)
+        assert (status, headers["connection"]) == (200, "close")
+    if quiet_close_ms:
+        served.skip_to(LIMIT)
+    assert await kept[1][0].read() == b""
+    for _, writer in kept:
+        writer.close()
+    await served.run
 
 
 @pytest.mark.parametrize("count", [1, 5])
-def test_requests_at_the_very_signal_are_answered(count: int) -> None:
+@on_instance()
+async def test_requests_at_the_very_signal_are_answered(served: Served, count: int) -> None:
     """Guards against requests, pipelined ones too, that arrive with the signal."""
-
-    async def run() -> None:
-        async with serving() as served:
-            connections = [await served.connect() for _ in range(4)]
-            await until(lambda: len(served.app.callers.listener.connections) == 4)
-            for _, writer in connections:
-                writer.write(search() * count)
-            served.app.shut_down()
-            for reader, writer in connections:
-                answers = [await read_answer(reader) for _ in range(count)]
-                assert [status for status, _, _ in answers] == [200] * count
-                closes = [headers.get("connection") == "close" for _, headers, _ in answers]
-                assert closes == [False] * (count - 1) + [True]
-                writer.close()
-
-    asyncio.run(run())
-
-
-def test_requests_at_the_very_close_are_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    connections = [await served.connect() for _ in range(4)]
+    await until(lambda: len(served.app.callers.listener.connections) == 4)
+    for _, writer in connections:
+        writer.write(search() * count)
+    served.app.shut_down()
+    for reader, writer in connections:
+        answers = [await read_answer(reader) for _ in range(count)]
+        assert [status for status, _, _ in answers] == [200] * count
+        closes = [headers.get("connection") == "close" for _, headers, _ in answers]
+        assert closes == [False] * (count - 1) + [True]
+        writer.close()
+
+
+@on_instance()
+async def test_requests_at_the_very_close_are_answered(
+    served: Served, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against a reset of connections that wait in the backlog at the close."""
-
-    async def run() -> None:
-        async with serving() as served:
-            listener = served.app.callers.listener
-            close_listening = listener.close_listening
-            late: list[socket.socket] = []
-
-            def close_late() -> None:
-                if not late:
-                    for _ in range(5):
-                        late.append(socket.create_connection(("127.0.0.1", listener.port)))
-                        late[-1].sendall(search())
-                close_listening()
-
-            monkeypatch.setattr(listener, "close_listening", close_late)
-            _terminate()
-            await until(lambda: late)
-            for sock in late:
-                sock.setblocking(False)
-                reader, writer = await asyncio.open_connection(sock=sock)
-                status, headers, _ = await read_answer(reader)
-                assert (status, headers["connection"]) == (200, "close")
-                writer.close()
-            await served.run
-
-    asyncio.run(run())
-
-
-def test_call_longer_than_the_notice_is_answered_after_two_signals() -> None:
+    listener = served.app.callers.listener
+    close_listening = listener.close_listening
+    late: list[socket.socket] = []
+
+    def close_late() -> None:
+        if not late:
+            for _ in range(5):
+                late.append(socket.create_connection(("127.0.0.1", listener.port)))
+                late[-1].sendall(search())
+        close_listening()
+
+    monkeypatch.setattr(listener, "close_listening", close_late)
+    _terminate()
+    await until(lambda: late)
+    for sock in late:
+        sock.setblocking(False)
+        reader, writer = await asyncio.open_connection(sock=sock)
+        status, headers, _ = await read_answer(reader)
+        assert (status, headers["connection"]) == (200, "close")
+        writer.close()
+    await served.run
+
+
+@on_instance(is_platform_up=False, drain_notice_ms=50, quiet_close_ms=0)
+async def test_call_longer_than_the_notice_is_answered_after_two_signals(served: Served) -> None:
     """Guards against a second signal, or a platform that is out, that ends a call early."""
-
-    async def run() -> None:
-        async with serving(is_platform_up=False, drain_notice_ms=50, quiet_close_ms=0) as served:
-            for item in served.upstreams:
-                item.behaviour.service_ms = 600.0
-            answer = asyncio.create_task(served.call(search()))
-            await until(lambda: served.app.state.searches_by_id)
-            _terminate()
-            await until(lambda: _phase(served) is ProcessPhase.CLOSING)
-            _terminate()
-            await until(lambda: served.app.state.counters["shutdown.repeated"])
-            assert not answer.done()
-            assert (await answer)[0] == 200
-            await served.run
-
-    asyncio.run(run())
+    served.slow_down(600.0)
+    answer = asyncio.create_task(served.call(search()))
+    await until(lambda: served.app.state.searches_by_id)
+    _terminate()
+    await until(lambda: _phase(served) is ProcessPhase.CLOSING)
+    _terminate()
+    await until(lambda: served.app.state.counters["shutdown.repeated"])
+    assert not answer.done()
+    assert (await answer)[0] == 200
+    await served.run
 
 
 BOUNDED = {
@@ -197,40 +174,32 @@
 }
 
 
-def test_requests_at_the_limit_are_refused() -> None:
+@on_instance(**LONG_NOTICE)
+async def test_requests_at_the_limit_are_refused(served: Served) -> None:
     """Guards against a reset of requests that a paused process has not read in time."""
-
-    async def run() -> None:
-        async with serving(**LONG_NOTICE) as served:
-            kept = await served.connect()
-            await until(lambda: served.app.callers.listener.connections)
-            served.app.shut_down()
-            sock = socket.create_connection(("127.0.0.1", served.app.callers.listener.port))
-            sock.sendall(search())
-            sock.setblocking(False)
-            kept[1].write(search())
-            served.skip_to(LIMIT)
-            for reader, writer in (kept, await asyncio.open_connection(sock=sock)):
-                _, _, body = await read_answer(reader)
-                assert (body["error"], body["ran"]) == ("shutting_down", "no")
-                writer.close()
-
-    asyncio.run(run())
+    kept = await served.connect()
+    await until(lambda: served.app.callers.listener.connections)
+    served.app.shut_down()
+    sock = socket.create_connection(("127.0.0.1", served.app.callers.listener.port))
+    sock.sendall(search())
+    sock.setblocking(False)
+    kept[1].write(search())
+    served.skip_to(LIMIT)
+    for reader, writer in (kept, await asyncio.open_connection(sock=sock)):
+        _, _, body = await read_answer(reader)
+        assert (body["error"], body["ran"]) == ("shutting_down", "no")
+        writer.close()
 
 
 @pytest.mark.parametrize("raw", [search()[:-1], b"GET /health HTTP/1.1\r\n"])
-def test_shutdown_ends_at_its_limit(raw: bytes) -> None:
+@on_instance(**BOUNDED)
+async def test_shutdown_ends_at_its_limit(served: Served, raw: bytes) -> None:
     """Guards against a caller that never ends its request and so holds up a shutdown."""
-
-    async def run() -> None:
-        async with serving(**BOUNDED) as served:
-            reader, writer = await served.connect()
-            writer.write(raw)
-            await until(lambda: served.app.callers.listener.connections)
-            served.app.shut_down()
-            await served.run
-            _, _, body = await read_answer(reader)
-            assert (body["error"], body["ran"]) == ("shutting_down", "no")
-            writer.close()
-
-    asyncio.run(run())
+    reader, writer = await served.connect()
+    writer.write(raw)
+    await until(lambda: served.app.callers.listener.connections)
+    served.app.shut_down()
+    await served.run
+    _, _, body = await read_answer(reader)
+    assert (body["error"], body["ran"]) == ("shutting_down", "no")
+    writer.close()
