Add commands to check, seal, search and read state

Cause: operators had only `entry` and `version`; a note could not be checked or made by hand. Mutants: the second check of the settings left out, and `check-note` without the preceding note; test_cmd.py fails on both.

--- /dev/null
+++ b/tests/test_cmd.py
@@ -0,0 +1,129 @@
+"""Tests of the command line."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from typer.testing import CliRunner
+
+from tests.reducing import definitions, first_note
+from turmerictiller.cmd import http
+from turmerictiller.cmd.main import app
+
+runner = CliRunner()
+
+
+def write(path: Path, value: Any) -> str:
+    path.write_bytes(orjson.dumps(value))
+    return str(path)
+
+
+def test_entry_lists_every_mistake_by_flag() -> None:
+    """Guards against settings that are mended one mistake per start."""
+    flags = ["--seed", "x", "--caller-address", "nowhere", "--shutdown-limit-ms", "1"]
+    done = runner.invoke(app, ["entry", *flags], env={"TURMERICTILLER_MAX_PEERS": "0"})
+    assert done.exit_code == 2
+    for flag in ("--instance-id", "--failure-domain", "--seed", "--caller-address", "--max-peers"):
+        assert f"{flag}:" in done.stderr
+    assert "--shutdown-limit-ms must be longer than --drain-notice-ms" in done.stderr
+
+
+def test_flag_wins_over_environment() -> None:
+    """Guards against an environment variable that overrides what was typed."""
+    env = {"TURMERICTILLER_SEED": "3", "TURMERICTILLER_MAX_PEERS": "bad"}
+    done = runner.invoke(app, ["entry", "--seed", "bad"], env=env)
+    assert "--seed:" in done.stderr
+    assert "--max-peers:" in done.stderr
+    done = runner.invoke(app, ["entry", "--max-peers", "5", "--seed", "bad"], env=env)
+    assert "--max-peers:" not in done.stderr
+
+
+@pytest.mark.parametrize("command", ["entry", "check-note", "seal-note", "state", "search"])
+def test_help_of_each_command(command: str) -> None:
+    """Guards against a command whose help fails to render."""
+    done = runner.invoke(app, [command, "--help"])
+    assert done.exit_code == 0
+    assert "Usage" in done.stdout
+
+
+def test_help_names_required_flags_and_defaults() -> None:
+    """Guards against markup in the help that swallows the defaults."""
+    shown = runner.invoke(app, ["entry", "--help"], env={"COLUMNS": "200"}).stdout
+    assert "(default 512)" in shown
+    assert shown.count("(required)") == 2
+
+
+def test_sealed_notes_pass_the_check(tmp_path: Path) -> None:
+    """Guards against a sealed note that instances refuse."""
+    changes = write(tmp_path / "c1", {"added": definitions()})
+    first = str(tmp_path / "first")
+    assert runner.invoke(app, ["seal-note", changes, "--out", first]).exit_code == 0
+    changes = write(tmp_path / "c2", {"withdrawn": {"fronts": ["booking"]}})
+    second = runner.invoke(app, ["seal-note", changes, "--after", first])
+    assert orjson.loads(second.stdout)["number"] == 2
+    path = write(tmp_path / "second", orjson.loads(second.stdout))
+    assert runner.invoke(app, ["check-note", path, "--after", first]).exit_code == 0
+    done = runner.invoke(app, ["check-note", first, "--after", path])
+    assert (done.exit_code, "older_note" in done.stderr) == (1, True)
+
+
+def test_check_note_lists_every_error_with_its_place(tmp_path: Path) -> None:
+    """Guards against a check that stops at the first mistake."""
+    note = first_note()
+    note["result"]["fronts"][0]["services"] = ["a", "b"]
+    done = runner.invoke(app, ["check-note", write(tmp_path / "n", note)])
+    assert done.exit_code == 1
+    assert done.stderr.count("result.fronts.0.services") == 2
+    note["number"], note["result"]["fronts"][0]["k_max"] = 0, 0
+    done = runner.invoke(app, ["check-note", write(tmp_path / "n", note)])
+    assert "number:" in done.stderr
+    assert "result.fronts.0.k_max:" in done.stderr
+
+
+def test_unreadable_files_exit_with_two(tmp_path: Path) -> None:
+    """Guards against a missing file that looks like a wrong note."""
+    (tmp_path / "text").write_text("{")
+    for name in ("none", "text"):
+        for command in ("check-note", "seal-note"):
+            done = runner.invoke(app, [command, str(tmp_path / name)])
+            assert (done.exit_code, bool(done.stderr)) == (2, True)
+    wrong = write(tmp_path / "wrong", {"added": {"fronts": [{}]}, "other": 1})
+    done = runner.invoke(app, ["seal-note", wrong])
+    assert done.exit_code == 1
+    assert done.stderr.count("wrong:") == 2
+
+
+def test_search_prints_hits_coverage_and_refusals(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against output that hides missing shards or a refusal."""
+    answer: Any = {
+        "hits": [{"score": 0.5, "shard": "a/0", "id": "d1", "fields": {"title": "velvet"}}],
+        "snapshot": "1-abc",
+        "coverage": {
+            "share": 0.5,
+            "merged": 1,
+            "total": 2,
+            "missing": [{"shard": "a/1", "service": "a", "reason": "timed_out"}],
+        },
+        "cursor": None,
+        "took_ms": 12.0,
+    }
+    monkeypatch.setattr(http, "post_json", lambda *_: (200, answer))
+    shown = runner.invoke(app, ["search", "127.0.0.1:1", "booking", "velvet"]).stdout
+    for text in ("title=velvet", "1-abc", "1 of 2 shards (50.0%)", "a/1 (timed_out)", "12.0 ms"):
+        assert text in shown
+    refusal = {"error": "no_note", "message": "none", "ran": "no", "retry_after_ms": 200}
+    monkeypatch.setattr(http, "post_json", lambda *_: (503, refusal))
+    done = runner.invoke(app, ["search", "127.0.0.1:1", "booking", "velvet"])
+    assert done.exit_code == 1
+    assert "no_note: none. It was not run. Try again after 200 ms." in done.stderr
+
+
+def test_unreachable_process_exits_with_two() -> None:
+    """Guards against a traceback where nobody listens."""
+    for arguments in (["state", "127.0.0.1:1"], ["search", "127.0.0.1:1", "booking", "x"]):
+        done = runner.invoke(app, arguments)
+        assert done.exit_code == 2
+        assert "127.0.0.1:1" in done.stderr
--- a/turmerictiller/cmd/main.py
+++ b/turmerictiller/cmd/main.py
@@ -4,23 +4,17 @@
 
 import typer
 
-from turmerictiller.cmd import entry
+from turmerictiller.cmd import check_note, entry, seal_note, search, state, version
 
 app = typer.Typer(
     name="turmerictiller",
     help="A query tier that answers searches over many shards from one snapshot.",
     no_args_is_help=True,
     add_completion=False,
+    pretty_exceptions_show_locals=False,
 )
-entry.register(app)
-
-
-@app.command()
-def version() -> None:
-    """Print the version."""
-    from turmerictiller import __version__
-
-    typer.echo(__version__)
+for command in (entry, check_note, seal_note, state, search, version):
+    command.register(app)
 
 
 def main() -> None:
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -126,8 +126,30 @@
     try:
         return Settings(**values)
     except ValidationError as error:
-        problems = [
-            f"{'.'.join(str(part) for part in item['loc']) or 'settings'}: {item['msg']}"
-            for item in error.errors()
-        ]
-        raise ConfigError(problems) from None
+        raise ConfigError(_problems(values, error)) from None
+
+
+def _problems(values: dict[str, Any], error: ValidationError) -> list[str]:
+    """Return one line per mistake.
+
+    Checks of several settings together run only when each passes its own. So they are run again
+    with the wrong values left out, and count if they name none of these.
+    """
+    problems = _lines(error)
+    wrong = {str(item["loc"][0]) for item in error.errors() if item["loc"]}
+    if not wrong:
+        return problems
+    required = {name for name, field in Settings.model_fields.items() if field.is_required()}
+    kept = {name: value for name, value in values.items() if name not in wrong}
+    try:
+        Settings(**dict.fromkeys(required, "x") | kept)
+    except ValidationError as again:
+        problems += [line for line in _lines(again) if not any(name in line for name in wrong)]
+    return problems
+
+
+def _lines(error: ValidationError) -> list[str]:
+    return [
+        f"{'.'.join(str(part) for part in item['loc']) or 'settings'}: {item['msg']}"
+        for item in error.errors()
+    ]
