Record recent events and replay them at a desk

Cause: a fault at night left nothing from which it could be repeated. Ruled out: a trace that counts only from the start of the process, because a ring that is full would have no known start; pickle; a digest of repr(), because the order of sets differs between processes; a copy of the notes and fronts per search in a checkpoint. Change: a ring of two segments, each from a checkpoint of the state; a codec that is generic over the data classes of the package; `turmerictiller trace` and `replay`. `max_trace_bytes` bounds the ring in memory. Secrets are not written. An event that has no room drops the ring, so that no trace has a gap inside. Mutants, each failing in test_trace.py: tuples as lists, the generator not restored, no sharing, secrets written, types of other packages, re-exported types, no bound in bytes, a checkpoint left out, a gap kept, all digests equal, a timer lost from the checkpoint.

--- /dev/null
+++ b/bench/record_cost.py
@@ -0,0 +1,70 @@
+"""Cost of recording: time per event with and without the trace, and per checkpoint.
+
+Run it as ``python -m bench.record_cost``.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from tests.reducing import Harness
+from turmerictiller import effects
+from turmerictiller.codec import dumps
+from turmerictiller.reducer import reduce
+from turmerictiller.trace import Trace, reduce_recorded
+
+if TYPE_CHECKING:
+    from turmerictiller.effects import Effect
+    from turmerictiller.events import Event
+
+SERVICES = 10
+SEARCHES = 1_000
+HITS_PER_SHARD = 5
+
+
+class _Timed(Harness):
+    """A harness that adds up the time and number of events."""
+
+    def __init__(self, max_trace_events: int) -> None:
+        super().__init__(max_trace_events=max_trace_events)
+        self.trace = Trace(self.settings)
+        self.seconds = 0.0
+        self.events = 0
+
+    def send(self, event: Event) -> list[Effect]:
+        before = time.perf_counter()
+        new = reduce_recorded(self.trace, self.state, event, reduce)
+        self.seconds += time.perf_counter() - before
+        self.events += 1
+        self.effects += new
+        return new
+
+
+def _run(max_trace_events: int) -> _Timed:
+    harness = _Timed(max_trace_events)
+    harness.start(services=SERVICES)
+    for call_id in range(SEARCHES):
+        for attempt in harness.search(call_id):
+            harness.answer(attempt, hits=HITS_PER_SHARD)
+        harness.take(effects.ReplySearch)
+        harness.advance(1)
+    return harness
+
+
+def main() -> None:
+    """Print the cost per event and per checkpoint."""
+    plain, recorded = _run(0), _run(5_000)
+    for name, harness in (("plain", plain), ("recorded", recorded)):
+        print(f"{name}: {harness.seconds / harness.events * 1e6:.1f} us per event")
+    print(f"{recorded.events} events, {recorded.trace.checkpoints} checkpoints")
+    size = sum(segment.size for segment in recorded.trace.segments)
+    kept = sum(len(segment.lines) for segment in recorded.trace.segments)
+    print(f"{kept} events kept in {size} bytes")
+    before = time.perf_counter()
+    checkpoint = dumps(recorded.state, share=True)
+    print(f"checkpoint: {(time.perf_counter() - before) * 1e3:.2f} ms, {len(checkpoint)} bytes")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/reducing.py
+++ b/tests/reducing.py
@@ -87,7 +87,7 @@
 
     def take(self, kind: type[E]) -> list[E]:
         """Remove and return the collected effects of one kind."""
-        found = [effect for effect in self.effects if isinstance(effect, kind)]
+        found: list[E] = [effect for effect in self.effects if isinstance(effect, kind)]
         self.effects = [effect for effect in self.effects if not isinstance(effect, kind)]
         return found
 
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,266 @@
+"""Tests of recording, replay and the JSON form of events, effects and state."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter, OrderedDict, deque
+from dataclasses import dataclass, fields, is_dataclass
+from pathlib import Path
+from typing import Any, get_args, get_origin, get_type_hints
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from typer.testing import CliRunner
+
+from tests.reducing import Harness
+from turmerictiller import codec, effects, events, trace
+from turmerictiller.cmd.main import app
+from turmerictiller.codec import dumps, loads
+from turmerictiller.errors import RefusalType, TraceError
+from turmerictiller.reducer import reduce
+from turmerictiller.replay import replay
+from turmerictiller.trace import Trace, dump_trace, reduce_recorded
+
+NUMBERS = st.integers(-(2**63), 2**63) | st.floats(allow_nan=False)
+SCALARS = st.none() | st.booleans() | NUMBERS | st.text(max_size=8)
+TREES = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=3)
+    | st.tuples(inner, inner)
+    | st.dictionaries(st.text(max_size=4) | st.just("$"), inner, max_size=3),
+    max_leaves=6,
+)
+KINDS = [*get_args(events.Event), *get_args(effects.Effect)]
+
+
+def values_of(hint: Any) -> st.SearchStrategy[Any]:
+    """Return values of a type hint; ``Any`` stands for any JSON or tuple."""
+    origin, arguments = get_origin(hint), get_args(hint)
+    if hint in (Any, object):
+        return TREES
+    if origin is dict:
+        return st.dictionaries(values_of(arguments[0]), values_of(arguments[1]), max_size=2)
+    if origin is tuple and arguments[-1] is ...:
+        return st.lists(values_of(arguments[0]), max_size=2).map(tuple)
+    if origin is tuple:
+        return st.tuples(*map(values_of, arguments))
+    if arguments:
+        return st.one_of(*map(values_of, arguments))
+    if is_dataclass(hint):
+        hints = get_type_hints(hint)
+        return st.builds(hint, **{item.name: values_of(hints[item.name]) for item in fields(hint)})
+    return st.floats(allow_nan=False) if hint is float else st.from_type(hint)
+
+
+class RecordingHarness(Harness):
+    """A harness whose events go through the recorder."""
+
+    def __init__(self, **settings: Any) -> None:
+        super().__init__(**settings)
+        self.trace = Trace(self.settings)
+
+    def send(self, event: events.Event) -> list[effects.Effect]:
+        new = reduce_recorded(self.trace, self.state, event)
+        self.effects += new
+        return new
+
+    def lines(self) -> list[bytes]:
+        return dump_trace(self.trace).splitlines()
+
+
+def drive(harness: Harness, steps: list[tuple[str, int, float]]) -> None:
+    """Run a mix of searches, answers, failures, leaving callers and passing time."""
+    harness.start()
+    waiting: list[effects.SendSearch] = []
+    for call_id, (step, number, amount) in enumerate(steps, 1):
+        if step == "search":
+            waiting += harness.search(call_id, k=1 + number % 20, deadline_ms=1 + amount * 50)
+        elif step == "gone":
+            harness.send(events.CallerGone(harness.at, number % 40))
+        elif step == "wait" or not waiting:
+            harness.advance(amount * 10)
+        elif step == "answer":
+            harness.answer(waiting.pop(number % len(waiting)), hits=number % 4)
+        else:
+            kind = list(events.FailureKind)[number % len(events.FailureKind)]
+            attempt = waiting.pop(number % len(waiting))
+            harness.send(events.AttemptFailed(harness.at, attempt.attempt_id, kind))
+            waiting += harness.take(effects.SendSearch)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["search", "search", "answer", "answer", "fail", "gone", "wait"]),
+        st.integers(0, 10_000),
+        st.floats(0, 100),
+    ),
+    max_size=40,
+)
+FIXED_STEPS = [
+    (("search", "fail", "answer", "wait")[number % 4], number, 3.0) for number in range(200)
+]
+
+
+@given(STEPS, st.sampled_from([4, 16, 100_000]))
+def test_replay_gives_the_recorded_effects(steps: list[tuple[str, int, float]], ring: int) -> None:
+    """Guards against state that a checkpoint loses and against effects that vary between runs."""
+    harness = RecordingHarness(max_trace_events=ring)
+    drive(harness, steps)
+    outcome = replay(harness.lines())
+    assert outcome.differing is None
+    assert outcome.events == outcome.header["events"] > 0
+    assert outcome.events <= ring
+
+
+@given(st.data())
+def test_events_and_effects_keep_their_value(data: st.DataObject) -> None:
+    """Guards against a field or type whose JSON form reads back as another value."""
+    value = data.draw(values_of(data.draw(st.sampled_from(KINDS))))
+    line = dumps(value)
+    assert loads(line) == value
+    assert dumps(loads(line)) == line
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {1: (2.0, [3]), (4, "x"): {5}},
+        [Counter(a=2), frozenset({"x", "y"}), b"\x00\xff", {"$": {"$ref": 1}}],
+        [deque([1, 2], maxlen=3), OrderedDict(b=1, a=2), -math.inf, RefusalType.OVERLOADED],
+    ],
+)
+def test_containers_keep_their_type(value: Any) -> None:
+    """Guards against tuples that become lists and keys that become text."""
+    read = loads(dumps(value))
+    assert read == value
+    assert repr(read) == repr(value)
+
+
+def test_state_keeps_sharing_and_random_numbers() -> None:
+    """Guards against a checkpoint that copies a shared object or restarts the generator."""
+    front = Harness()
+    front.start()
+    front.search(1)
+    front.search(2)
+    state = loads(dumps(front.state, share=True), front.settings)
+    first, second = state.searches_by_id.values()
+    assert first.front is second.front
+    generator = random.Random(3)
+    generator.gauss()
+    assert loads(dumps(generator)).random() == generator.random()
+
+
+def test_mutated_reducer_is_caught(tmp_path: Path) -> None:
+    """Guards against a comparison that accepts other effects."""
+    harness = RecordingHarness(max_trace_events=100)
+    drive(harness, FIXED_STEPS)
+
+    def without_retries(state: Any, event: Any) -> list[effects.Effect]:
+        new = reduce(state, event)
+        if isinstance(event, events.AttemptFailed):
+            return [item for item in new if not isinstance(item, effects.SendSearch)]
+        return new
+
+    differing = replay(harness.lines(), without_retries).differing
+    assert differing is not None
+    assert isinstance(differing.event, events.AttemptFailed)
+    lines = harness.lines()
+    data = orjson.loads(lines[-1])
+    lines[-1] = orjson.dumps({**data, "effects": "0" * 16})
+    path = tmp_path / "trace"
+    path.write_bytes(b"\n".join(lines))
+    done = CliRunner().invoke(app, ["replay", str(path)])
+    assert (done.exit_code, f"Line {len(lines)}:" in done.stdout) == (1, True)
+
+
+def test_error_of_the_reducer_is_recorded_and_raised() -> None:
+    """Guards against the loss of the one event that explains a fault."""
+    harness = RecordingHarness()
+
+    def failing(state: Any, event: Any) -> list[effects.Effect]:
+        raise KeyError("x")
+
+    with pytest.raises(KeyError):
+        reduce_recorded(harness.trace, harness.state, events.Tick(1.0), failing)
+    assert replay(harness.lines(), failing).differing is None
+    assert replay(harness.lines()).differing is not None
+
+
+def test_ring_stays_within_its_bytes() -> None:
+    """Guards against large answers that fill the memory, and against a gap inside a trace."""
+    harness = RecordingHarness(max_trace_bytes=60_000)
+    drive(harness, FIXED_STEPS)
+    assert sum(len(line) for line in harness.lines()) < 60_000
+    assert replay(harness.lines()).differing is None
+    harness.search(10_001, query="x" * 50_000)
+    assert harness.trace.lost == 1
+    harness.advance(1)
+    assert harness.trace.lost > 1
+    with pytest.raises(TraceError):
+        replay(harness.lines())
+    for _ in range(harness.settings.max_trace_events):
+        harness.send(events.Tick(harness.at))
+    assert replay(harness.lines()).events > 0
+
+
+def test_secrets_are_not_in_a_trace(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a trace that lets its reader forge what only the process may sign."""
+    monkeypatch.setattr(trace, "SECRET", "seed")
+    monkeypatch.setattr(codec, "SECRET", "query")
+    monkeypatch.setattr(codec, "_LAYOUTS", {})
+    harness = RecordingHarness(seed=4711)
+    harness.search(1, query="sentinel")
+    header, line = harness.lines()
+    assert orjson.loads(header)["left_out"] == ["seed"]
+    assert b"4711" not in header
+    assert b"booking" in line
+    assert b"sentinel" not in line
+
+
+@dataclass
+class Foreign:
+    """A data class of another package."""
+
+
+def test_types_of_other_packages_are_refused() -> None:
+    """Guards against a trace that is written and can not be read."""
+    for value in (Foreign(), Path("x"), [object()], "\ud800"):
+        with pytest.raises(TraceError):
+            dumps(value)
+
+
+@given(st.binary(max_size=40) | TREES.map(lambda tree: orjson.dumps(tree, default=str)))
+def test_wrong_lines_are_typed_errors(line: bytes) -> None:
+    """Guards against a damaged file that ends in a traceback."""
+    lines = RecordingHarness().lines()
+    for bad in ([line], [lines[0], line, line], []):
+        try:
+            replay(bad)
+        except TraceError:
+            continue
+        assert bad[1:] == []
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b'{"$":"os:system","command":"x"}',
+        b'{"$":"..x:Y"}',
+        b'{"$":"events:Tick"}',
+        b'{"$":"events:Tick","at":1,"b":2}',
+        b'{"$enum":"events:Tick","name":"x"}',
+        b'{"$":"cmd.main:app"}',
+        b'{"$":"searches:Refusal","type":1,"message":"x"}',
+        b'{"$ref":3}',
+        b'{"$other":3}',
+        b'{"$settings":null}',
+        b'{"$":7}',
+    ],
+)
+def test_reading_makes_nothing_but_known_types(text: bytes) -> None:
+    """Guards against a trace file that runs code or makes half an event."""
+    with pytest.raises(TraceError):
+        loads(text)
--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -13,11 +13,11 @@
 from turmerictiller.clock import Clock
 from turmerictiller.events import Event, ShutdownRequested, Tick
 from turmerictiller.logs import part_logger
-from turmerictiller.operators import operator_application
+from turmerictiller.operators import OperatorViews, operator_application
 from turmerictiller.platform_client import PlatformClient
-from turmerictiller.reducer import reduce
 from turmerictiller.state import new_state
 from turmerictiller.state_dump import dump_state, health
+from turmerictiller.trace import Trace, dump_trace, reduce_recorded
 from turmerictiller.upstreams import UpstreamClient
 
 if TYPE_CHECKING:
@@ -35,6 +35,7 @@
         self.settings = settings
         self.clock = Clock()
         self.state = new_state(settings)
+        self.trace = Trace(settings)
         self.callers = CallerServer(settings, self.clock, self.dispatch, lambda: health(self.state))
         self._upstreams: UpstreamClient
         self._platform: PlatformClient
@@ -45,7 +46,7 @@
 
     def dispatch(self, event: Event) -> None:
         """Reduce one event and carry out its effects."""
-        for effect in reduce(self.state, event):
+        for effect in reduce_recorded(self.trace, self.state, event):
             run = self._run_by_effect.get(type(effect))
             if run is not None:
                 run(effect)
@@ -59,7 +60,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
         await self._listen(self.callers.application(), self.settings.caller_address, True)
-        operators = operator_application(lambda: dump_state(self.state))
+        operators = operator_application(self._operator_views())
         await self._listen(operators, self.settings.operator_address, False)
         self.dispatch(Tick(self.clock.now_ms()))
         self._platform.start()
@@ -83,6 +84,13 @@
             effects.Stop: lambda effect: self._stopped.set(),
         }
 
+    def _operator_views(self) -> OperatorViews:
+        return OperatorViews(
+            state=lambda: dump_state(self.state),
+            health=lambda: health(self.state),
+            trace=lambda: dump_trace(self.trace),
+        )
+
     def _on_signal(self) -> None:
         self.dispatch(ShutdownRequested(self.clock.now_ms()))
         self._stopped.set()
--- a/turmerictiller/cmd/main.py
+++ b/turmerictiller/cmd/main.py
@@ -4,7 +4,16 @@
 
 import typer
 
-from turmerictiller.cmd import check_note, entry, seal_note, search, state, version
+from turmerictiller.cmd import (
+    check_note,
+    entry,
+    replay,
+    seal_note,
+    search,
+    state,
+    trace,
+    version,
+)
 
 app = typer.Typer(
     name="turmerictiller",
@@ -13,7 +22,7 @@
     add_completion=False,
     pretty_exceptions_show_locals=False,
 )
-for command in (entry, check_note, seal_note, state, search, version):
+for command in (entry, check_note, seal_note, state, search, trace, replay, version):
     command.register(app)
 
 
--- a/turmerictiller/operators.py
+++ b/turmerictiller/operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -11,13 +12,35 @@
     from collections.abc import Callable
 
 
-def operator_application(state_dump: Callable[[], dict[str, Any]]) -> web.Application:
+@dataclass(frozen=True)
+class OperatorViews:
+    """What operators can read; each view is made when it is asked for."""
+
+    state: Callable[[], dict[str, Any]]
+    health: Callable[[], dict[str, Any]]
+    trace: Callable[[], bytes]
+
+
+def operator_application(views: OperatorViews) -> web.Application:
     """Return the aiohttp application for operators."""
 
     async def on_state(request: web.Request) -> web.Response:
-        body = orjson.dumps(state_dump(), option=orjson.OPT_INDENT_2 | orjson.OPT_NON_STR_KEYS)
-        return web.Response(body=body, content_type="application/json")
+        return _json(200, views.state())
+
+    async def on_health(request: web.Request) -> web.Response:
+        health = views.health()
+        return _json(200 if health["ready"] else 503, health)
+
+    async def on_trace(request: web.Request) -> web.Response:
+        return web.Response(body=views.trace(), content_type="application/jsonl")
 
     app = web.Application()
     app.router.add_get("/state", on_state)
+    app.router.add_get("/health", on_health)
+    app.router.add_get("/trace", on_trace)
     return app
+
+
+def _json(status: int, body: Any) -> web.Response:
+    raw = orjson.dumps(body, option=orjson.OPT_INDENT_2 | orjson.OPT_NON_STR_KEYS)
+    return web.Response(status=status, body=raw, content_type="application/json")
--- /dev/null
+++ b/turmerictiller/trace.py
@@ -0,0 +1,180 @@
+"""Record of recent events, from which a run can be repeated at a desk.
+
+The ring holds up to two segments. A segment starts from a state that can be rebuilt: the start of
+the process, or a checkpoint of the state. When a segment is full, a new one starts with a
+checkpoint, and the older of two is dropped; so at least half of the ring leads up to now. Each line
+holds an event and a digest of its effects.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from turmerictiller import __version__
+from turmerictiller.codec import SECRET, dumps
+from turmerictiller.errors import TraceError
+from turmerictiller.reducer import reduce
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from turmerictiller.config import Settings
+    from turmerictiller.effects import Effect
+    from turmerictiller.events import Event
+    from turmerictiller.state import State
+
+    Reduce = Callable[[State, Event], list[Effect]]
+
+FORMAT = 1
+DIGEST_BYTES = 8
+LINE_OVERHEAD_BYTES = 100  # digest, keys and the object that holds a line
+
+
+@dataclass
+class _Segment:
+    """Events that follow on one known state.
+
+    :param checkpoint: line with that state; empty at the start of the process.
+    """
+
+    checkpoint: bytes
+    lines: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+@dataclass
+class Trace:
+    """Ring of recent events.
+
+    :param skip: events to let pass before a checkpoint is tried again.
+    :param lost: events that were not recorded.
+    """
+
+    settings: Settings
+    segments: list[_Segment] = field(default_factory=lambda: [_Segment(b"")])
+    skip: int = 0
+    lost: int = 0
+    checkpoints: int = 0
+    last_error: str = ""
+
+
+def reduce_recorded(trace: Trace, state: State, event: Event, run: Reduce = reduce) -> list[Effect]:
+    """Reduce an event and record it; an error of the reducer is recorded and raised again."""
+    if trace.settings.max_trace_events < 2:
+        return run(state, event)
+    line = _line_of(trace, event)
+    segment = None if line is None else _segment_for(trace, state, len(line))
+    if line is None or segment is None:
+        trace.lost += 1
+        return run(state, event)
+    outcome = b""
+    try:
+        effects = run(state, event)
+        outcome = effects_digest(effects)
+        return effects
+    except Exception as error:
+        outcome = error_digest(error)
+        raise
+    finally:
+        segment.lines.append(b'{"effects":"' + outcome + b'","event":' + line + b"}")
+        segment.size += len(line) + LINE_OVERHEAD_BYTES
+
+
+def effects_digest(effects: list[Effect]) -> bytes:
+    """Return the digest of the effects of one event, as hex digits."""
+    try:
+        encoded = dumps(effects)
+    except TraceError as error:
+        encoded = str(error).encode()
+    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest().encode()
+
+
+def error_digest(error: Exception) -> bytes:
+    """Return what stands for the effects of an event at which the reducer raised an error."""
+    return f"raised:{type(error).__name__}".encode()
+
+
+def dump_trace(trace: Trace) -> bytes:
+    """Return the ring as JSON lines, the first of which holds the settings without secrets."""
+    segments = trace.segments
+    lines = [orjson.dumps(_header(trace))]
+    if segments and segments[0].checkpoint:
+        lines.append(segments[0].checkpoint)
+    for segment in segments:
+        lines += segment.lines
+    return b"\n".join(lines) + b"\n"
+
+
+def _start_of(trace: Trace) -> str:
+    if not trace.segments:
+        return "none"
+    return "checkpoint" if trace.segments[0].checkpoint else "process"
+
+
+def _header(trace: Trace) -> dict[str, Any]:
+    settings = trace.settings.model_dump(mode="json")
+    left_out = sorted(name for name in settings if SECRET in name)
+    return {
+        "format": FORMAT,
+        "version": __version__,
+        "start": _start_of(trace),
+        "settings": {name: value for name, value in settings.items() if name not in left_out},
+        "left_out": left_out,
+        "events": sum(len(segment.lines) for segment in trace.segments),
+        "lost": trace.lost,
+    }
+
+
+def _line_of(trace: Trace, event: Event) -> bytes | None:
+    if trace.skip > 0:
+        trace.skip -= 1
+        return None
+    try:
+        return dumps(event)
+    except TraceError as error:
+        _give_up(trace, str(error), skip=0)
+        return None
+
+
+def _segment_for(trace: Trace, state: State, size: int) -> _Segment | None:
+    """Return the segment that takes the next line; ``None`` if there is no room for one."""
+    if trace.segments:
+        last = trace.segments[-1]
+        if len(last.lines) < _max_events(trace) and _fits(trace, last.size + size):
+            return last
+    return _start_segment(trace, state, size)
+
+
+def _start_segment(trace: Trace, state: State, size: int) -> _Segment | None:
+    try:
+        checkpoint = dumps(state, share=True)
+    except TraceError as error:
+        _give_up(trace, str(error), skip=_max_events(trace))
+        return None
+    if not _fits(trace, len(checkpoint) + size):
+        message = f"a checkpoint of {len(checkpoint)} bytes leaves no room for events"
+        _give_up(trace, message, skip=_max_events(trace))
+        return None
+    segment = _Segment(checkpoint, size=len(checkpoint))
+    trace.segments = [*trace.segments[-1:], segment]
+    trace.checkpoints += 1
+    return segment
+
+
+def _give_up(trace: Trace, message: str, skip: int) -> None:
+    """Drop the ring: what follows a gap can not be replayed from what came before it."""
+    trace.segments = []
+    trace.skip = skip
+    trace.last_error = message
+
+
+def _max_events(trace: Trace) -> int:
+    return trace.settings.max_trace_events // 2
+
+
+def _fits(trace: Trace, size: int) -> bool:
+    return size + LINE_OVERHEAD_BYTES <= trace.settings.max_trace_bytes // 2
