Add histograms, gauges and counters in the Prometheus format

Cause: nothing told operators how long answers and upstream calls take. Ruled out: histograms in the state, because the reducer stays pure and a checkpoint would grow; quantiles since the start of the process, because hours of calm hide a change; one text built in one go, because 256 series take about 60 ms in which no search would run. Mutants, each failing in test_metrics.py: no bound on series, no bound on the table of calls, refused calls kept, windows not turned, a window kept after a gap, line feeds not escaped, milliseconds in place of seconds. The second and the fifth survived at first; the test was made stricter. Before: no metrics.

--- a/bench/record_cost.py
+++ b/bench/record_cost.py
@@ -1,4 +1,4 @@
-"""Cost of recording: time per event with and without the trace, and per checkpoint.
+"""Cost of trace and metrics: time per event with and without, per checkpoint and per record.
 
 Run it as ``python -m bench.record_cost``.
 """
@@ -8,9 +8,12 @@
 import time
 from typing import TYPE_CHECKING
 
+from hdrh.histogram import HdrHistogram
+
 from tests.reducing import Harness
 from turmerictiller import effects
 from turmerictiller.codec import dumps
+from turmerictiller.metrics import DIGITS, MAX_UNITS, Series, record
 from turmerictiller.reducer import reduce
 from turmerictiller.trace import Trace, reduce_recorded
 
@@ -21,6 +24,7 @@
 SERVICES = 10
 SEARCHES = 1_000
 HITS_PER_SHARD = 5
+RECORDS = 100_000
 
 
 class _Timed(Harness):
@@ -53,7 +57,7 @@
 
 
 def main() -> None:
-    """Print the cost per event and per checkpoint."""
+    """Print all costs."""
     plain, recorded = _run(0), _run(5_000)
     for name, harness in (("plain", plain), ("recorded", recorded)):
         print(f"{name}: {harness.seconds / harness.events * 1e6:.1f} us per event")
@@ -64,6 +68,18 @@
     before = time.perf_counter()
     checkpoint = dumps(recorded.state, share=True)
     print(f"checkpoint: {(time.perf_counter() - before) * 1e3:.2f} ms, {len(checkpoint)} bytes")
+    _print_metrics()
+
+
+def _print_metrics() -> None:
+    series = Series(HdrHistogram(1, MAX_UNITS, DIGITS), HdrHistogram(1, MAX_UNITS, DIGITS))
+    before = time.perf_counter()
+    for number in range(RECORDS):
+        record(series, number % 997 / 7)
+    print(f"record: {(time.perf_counter() - before) / RECORDS * 1e6:.2f} us")
+    before = time.perf_counter()
+    series.quantiles_ms()
+    print(f"quantiles of one series: {(time.perf_counter() - before) * 1e3:.2f} ms")
 
 
 if __name__ == "__main__":
--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -12,7 +12,9 @@
 from turmerictiller.callers import CallerServer
 from turmerictiller.clock import Clock
 from turmerictiller.events import Event, ShutdownRequested, Tick
+from turmerictiller.exposition import exposition
 from turmerictiller.logs import part_logger
+from turmerictiller.metrics import Metrics, observe_before, observe_effects
 from turmerictiller.operators import OperatorViews, operator_application
 from turmerictiller.platform_client import PlatformClient
 from turmerictiller.state import new_state
@@ -36,6 +38,7 @@
         self.clock = Clock()
         self.state = new_state(settings)
         self.trace = Trace(settings)
+        self.metrics = Metrics(settings)
         self.callers = CallerServer(settings, self.clock, self.dispatch, lambda: health(self.state))
         self._upstreams: UpstreamClient
         self._platform: PlatformClient
@@ -46,7 +49,10 @@
 
     def dispatch(self, event: Event) -> None:
         """Reduce one event and carry out its effects."""
-        for effect in reduce_recorded(self.trace, self.state, event):
+        observe_before(self.metrics, self.state, event)
+        new = reduce_recorded(self.trace, self.state, event)
+        observe_effects(self.metrics, new)
+        for effect in new:
             run = self._run_by_effect.get(type(effect))
             if run is not None:
                 run(effect)
@@ -89,6 +95,7 @@
             state=lambda: dump_state(self.state),
             health=lambda: health(self.state),
             trace=lambda: dump_trace(self.trace),
+            metrics=lambda: exposition(self.state, self.metrics, self.trace),
         )
 
     def _on_signal(self) -> None:
--- /dev/null
+++ b/turmerictiller/exposition.py
@@ -0,0 +1,113 @@
+"""Metrics as text in the Prometheus format, version 0.0.4."""
+
+from __future__ import annotations
+
+import os
+import resource
+import time
+from typing import TYPE_CHECKING
+
+from turmerictiller import __version__
+from turmerictiller.limits import live_instances
+from turmerictiller.metrics import QUANTILES
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from turmerictiller.metrics import Metrics, Series
+    from turmerictiller.state import State
+    from turmerictiller.trace import Trace
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "turmerictiller"
+
+Labels = dict[str, str]
+Samples = list[tuple[Labels, float]]
+
+
+def exposition(state: State, metrics: Metrics, trace: Trace) -> Iterator[str]:
+    """Yield the metrics in pieces, each of one family or series, so that a reader can pause."""
+    settings = state.settings
+    info = {
+        "version": __version__,
+        "instance": settings.instance_id,
+        "failure_domain": settings.failure_domain,
+        "incarnation": settings.incarnation,
+    }
+    yield _family("info", "gauge", "Identity of the process.", [({}, 1.0)], info)
+    counters: Samples = [({"name": name}, value) for name, value in sorted(state.counters.items())]
+    yield _family("counter_total", "counter", "Counters of the state, by name.", counters)
+    for name, text, samples in _gauges(state, trace):
+        yield _family(name, "gauge", text, samples)
+    for name, text, value in _process_counters():
+        yield _family(name, "counter", text, [({}, value)])
+    answers, attempts = metrics.answers_by_front, metrics.attempts_by_service
+    yield from _summaries("answer_seconds", "Time to answer a search.", "front", answers)
+    yield from _summaries("attempt_seconds", "Latency of upstream calls.", "service", attempts)
+
+
+def _gauges(state: State, trace: Trace) -> Iterator[tuple[str, str, Samples]]:
+    servers = list(state.servers_by_id.values())
+    yield "note_number", "Release note in force.", [({}, state.note.number if state.note else 0)]
+    yield "searches_in_flight", "Searches in flight.", [({}, len(state.searches_by_id))]
+    yield "attempts_in_flight", "Upstream calls in flight.", [({}, len(state.attempts_by_id))]
+    yield "timers", "Timers that are set.", [({}, len(state.timers))]
+    yield "live_instances", "Entry instances believed live.", [({}, live_instances(state))]
+    yield (
+        "servers",
+        "Upstream servers by what is known of them.",
+        [
+            ({"state": "all"}, len(servers)),
+            ({"state": "unreachable"}, sum(not server.reachable for server in servers)),
+            ({"state": "draining"}, sum(server.draining for server in servers)),
+        ],
+    )
+    recorded = sum(len(segment.lines) for segment in trace.segments)
+    yield "trace_events", "Events that can be replayed.", [({}, recorded)]
+    yield "trace_lost_events", "Events that were not recorded.", [({}, trace.lost)]
+    yield "resident_bytes", "Memory of the process.", [({}, _resident_bytes())]
+
+
+def _process_counters() -> Iterator[tuple[str, str, float]]:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    yield "cpu_seconds_total", "Processor time of the process.", time.process_time()
+    yield "switches_total", "Involuntary context switches.", float(usage.ru_nivcsw)
+
+
+def _resident_bytes() -> float:
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return float(int(file.read().split()[1]) * os.sysconf("SC_PAGESIZE"))
+    except (OSError, ValueError, IndexError):
+        return 0.0
+
+
+def _summaries(name: str, text: str, label: str, by_name: dict[str, Series]) -> Iterator[str]:
+    yield _head(name, "summary", text)
+    for key, series in list(by_name.items()):
+        lines = [
+            _sample(name, {label: key, "quantile": f"{quantile:g}"}, value / 1000)
+            for quantile, value in zip(QUANTILES, series.quantiles_ms(), strict=False)
+        ]
+        lines.append(_sample(f"{name}_sum", {label: key}, series.sum_ms / 1000))
+        lines.append(_sample(f"{name}_count", {label: key}, series.count))
+        yield "".join(lines)
+
+
+def _family(name: str, kind: str, text: str, samples: Samples, common: Labels | None = None) -> str:
+    lines = [_sample(name, {**(common or {}), **labels}, value) for labels, value in samples]
+    return _head(name, kind, text) + "".join(lines)
+
+
+def _head(name: str, kind: str, text: str) -> str:
+    return f"# HELP {PREFIX}_{name} {text}\n# TYPE {PREFIX}_{name} {kind}\n"
+
+
+def _sample(name: str, labels: Labels, value: float) -> str:
+    inner = ",".join(f'{key}="{escape(item)}"' for key, item in labels.items())
+    return f"{PREFIX}_{name}{'{' + inner + '}' if inner else ''} {value:.10g}\n"
+
+
+def escape(value: str) -> str:
+    """Return a label value with backslash, quote and line feed escaped."""
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/turmerictiller/metrics.py
@@ -0,0 +1,130 @@
+"""Histograms of answer times and attempt latencies, kept by the shell.
+
+The reducer does not know of them: the shell shows every event and its effects to ``observe``. Each
+series has a histogram of the window before and one of the current window, so that quantiles follow
+the last one to two minutes, while counts and sums grow from the start of the process.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+
+from turmerictiller.effects import ReplyRefusal, ReplySearch
+from turmerictiller.events import AttemptAnswered, CallerGone, RunAnswered, SearchArrived
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from turmerictiller.clock import Millis
+    from turmerictiller.config import Settings
+    from turmerictiller.effects import Effect
+    from turmerictiller.events import Event
+    from turmerictiller.state import State
+
+WINDOW_MS = 60_000.0
+UNITS_PER_MS = 100
+MAX_UNITS = 60_000 * UNITS_PER_MS  # longer times count as 60 s
+DIGITS = 2
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+OTHER = "other"  # series that takes the names for which there is no room
+
+
+@dataclass
+class Series:
+    """Times of one kind under one name, in milliseconds."""
+
+    before: HdrHistogram
+    current: HdrHistogram
+    count: int = 0
+    sum_ms: float = 0.0
+
+    def quantiles_ms(self) -> list[float]:
+        """Return the quantiles of the last one to two windows; empty without values."""
+        both = _histogram()
+        both.add(self.before)
+        both.add(self.current)
+        if both.get_total_count() == 0:
+            return []
+        percents = [quantile * 100 for quantile in QUANTILES]
+        values = both.get_percentile_to_value_dict(percents)
+        return [values[percent] / UNITS_PER_MS for percent in percents]
+
+
+@dataclass
+class Metrics:
+    """All histograms of a process.
+
+    :param front_by_call: fronts of the searches in flight.
+    """
+
+    settings: Settings
+    answers_by_front: dict[str, Series] = field(default_factory=dict)
+    attempts_by_service: dict[str, Series] = field(default_factory=dict)
+    front_by_call: dict[int, str] = field(default_factory=dict)
+    window_started_at: Millis = 0.0
+
+
+def observe_before(metrics: Metrics, state: State, event: Event) -> None:
+    """Record what an event tells; call it before the event is reduced."""
+    if event.at - metrics.window_started_at >= WINDOW_MS:
+        _start_window(metrics, event.at)
+    match event:
+        case AttemptAnswered() | RunAnswered():
+            attempt = state.attempts_by_id.get(event.attempt_id)
+            if attempt is not None:
+                series = _series(metrics, metrics.attempts_by_service, attempt.service)
+                record(series, event.at - attempt.sent_at)
+        case SearchArrived():
+            if len(metrics.front_by_call) < metrics.settings.max_searches:
+                metrics.front_by_call[event.call_id] = event.front
+        case CallerGone():
+            metrics.front_by_call.pop(event.call_id, None)
+
+
+def observe_effects(metrics: Metrics, effects: Sequence[Effect]) -> None:
+    """Record what the effects of one event tell."""
+    for effect in effects:
+        if isinstance(effect, ReplySearch):
+            front = metrics.front_by_call.pop(effect.call_id, None)
+            if front is not None:
+                record(_series(metrics, metrics.answers_by_front, front), effect.took_ms)
+        elif isinstance(effect, ReplyRefusal):
+            metrics.front_by_call.pop(effect.call_id, None)
+
+
+def record(series: Series, ms: float) -> None:
+    """Add one time to a series."""
+    series.count += 1
+    series.sum_ms += ms
+    series.current.record_value(min(max(int(ms * UNITS_PER_MS), 1), MAX_UNITS))
+
+
+def _series(metrics: Metrics, by_name: dict[str, Series], name: str) -> Series:
+    """Return the series of a name, or the common one when all places are taken."""
+    series = by_name.get(name)
+    if series is None:
+        used = len(metrics.answers_by_front) + len(metrics.attempts_by_service)
+        # Two places are kept for the common series of answers and of attempts.
+        if used >= metrics.settings.max_histograms - 2 and name != OTHER:
+            return _series(metrics, by_name, OTHER)
+        series = by_name[name] = Series(_histogram(), _histogram())
+    return series
+
+
+def _start_window(metrics: Metrics, at: Millis) -> None:
+    is_adjacent = at - metrics.window_started_at < 2 * WINDOW_MS
+    metrics.window_started_at = at
+    for by_name in (metrics.answers_by_front, metrics.attempts_by_service):
+        for series in by_name.values():
+            series.before.reset()
+            if is_adjacent:
+                series.before, series.current = series.current, series.before
+            else:
+                series.current.reset()
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, MAX_UNITS, DIGITS)
--- a/turmerictiller/operators.py
+++ b/turmerictiller/operators.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import orjson
 from aiohttp import web
 
+from turmerictiller.exposition import CONTENT_TYPE
+
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 
 @dataclass(frozen=True)
@@ -19,6 +22,7 @@
     state: Callable[[], dict[str, Any]]
     health: Callable[[], dict[str, Any]]
     trace: Callable[[], bytes]
+    metrics: Callable[[], Iterator[str]]
 
 
 def operator_application(views: OperatorViews) -> web.Application:
@@ -34,10 +38,19 @@
     async def on_trace(request: web.Request) -> web.Response:
         return web.Response(body=views.trace(), content_type="application/jsonl")
 
+    async def on_metrics(request: web.Request) -> web.Response:
+        pieces = []
+        for piece in views.metrics():
+            pieces.append(piece)
+            await asyncio.sleep(0)  # a piece takes about 0.2 ms; searches run between pieces
+        headers = {"Content-Type": CONTENT_TYPE}
+        return web.Response(body="".join(pieces).encode(), headers=headers)
+
     app = web.Application()
     app.router.add_get("/state", on_state)
     app.router.add_get("/health", on_health)
     app.router.add_get("/trace", on_trace)
+    app.router.add_get("/metrics", on_metrics)
     return app
 
 
