Bound logs in rate and size, and show more in the state dump

Cause: a flood of equal messages could fill a disk, and a reader of standard error that stops would have stopped the event loop with it; the dump did not show which server or search stalls. Ruled out: a non-blocking standard error, because that flag also holds for other processes which share the terminal or pipe; a queue with a thread, because the process has one. Change: bounds for equal messages and for all in ten seconds, short fields, lines of at most 4 KB written only if the pipe is ready; dropped lines are counted in the next line. The dump has the oldest searches, the age of the oldest call per server, refusals by type; queries only by fingerprint. Its parts have a module each. Mutants, each failing in test_logs.py or test_operators.py: no bound on all lines, on equal lines, on keys, on the line, on a field; surrogates kept; drops not reported; a broken pipe raised; age of the oldest call always 0; refusals left out. A write without asking the pipe makes the test hang. Conclusion: logs can be lost under a flood, and the lines say how many.

--- a/turmerictiller/cmd/entry.py
+++ b/turmerictiller/cmd/entry.py
@@ -49,7 +49,7 @@
         for problem in error.problems:
             typer.echo(f"turmerictiller: {with_flag_names(problem)}", err=True)
         raise typer.Exit(EXIT_BAD_SETTINGS) from None
-    set_up(settings.instance_id)
+    set_up(settings)
     from turmerictiller.application import Application
 
     async def serve() -> None:
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -51,6 +51,8 @@
     max_peer_connections: int = Field(1_024, description="Connections of peers.", ge=1)
     max_trace_events: int = Field(5_000, description="Recent events kept for replay.", ge=0)
     max_trace_bytes: int = Field(8_388_608, description="Size of these events.", ge=0)
+    max_equal_logs: int = Field(10, description="Equal log lines in ten seconds.", ge=1)
+    max_logs: int = Field(200, description="Log lines in ten seconds.", ge=1)
     max_histograms: int = Field(256, description="Fronts and services with histograms.", ge=2)
     read_timeout_ms: float = Field(5_000, description="Time to read one call.", gt=0)
 
--- a/turmerictiller/state_dump.py
+++ b/turmerictiller/state_dump.py
@@ -4,45 +4,52 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.limits import live_instances, outstanding_limit
+from turmerictiller.dump_searches import dump_searches
+from turmerictiller.dump_servers import dump_servers
+from turmerictiller.limits import live_instances
 
 if TYPE_CHECKING:
-    from turmerictiller.state import ServerState, State
+    from turmerictiller.state import State
+
+REFUSALS = "refusals."
 
 
 def dump_state(state: State) -> dict[str, Any]:
-    """Return what this process knows and does."""
-    note = state.note
+    """Return what this process knows and does; times in milliseconds."""
     return {
         "instance": state.settings.instance_id,
         "incarnation": state.settings.incarnation,
         "failure_domain": state.settings.failure_domain,
         "now_ms": round(state.now, 1),
-        "note": {"number": note.number, "digest": note.digest} if note else None,
+        "health": health(state),
+        "note": _note(state),
         "snapshots": sorted(state.shard_maps_by_snapshot),
         "live_instances": live_instances(state),
         "searches_in_flight": len(state.searches_by_id),
         "attempts_in_flight": len(state.attempts_by_id),
         "timers": len(state.timers),
-        "servers": [_server(state, server) for server in state.servers_by_id.values()],
+        "oldest_searches": dump_searches(state),
+        "servers": dump_servers(state),
+        "refusals": {
+            name.removeprefix(REFUSALS): count
+            for name, count in sorted(state.counters.items())
+            if name.startswith(REFUSALS)
+        },
         "counters": dict(sorted(state.counters.items())),
     }
 
 
-def _server(state: State, server: ServerState) -> dict[str, Any]:
+def _note(state: State) -> dict[str, Any] | None:
+    note = state.note
+    if note is None:
+        return None
     return {
-        "id": server.id,
-        "address": server.address,
-        "failure_domain": server.domain,
-        "service": server.service,
-        "reachable": server.reachable,
-        "draining": server.draining,
-        "snapshots": list(server.snapshots),
-        "fast_ms": round(server.fast_ms, 2),
-        "slow_ms": round(server.slow_ms, 2),
-        "samples": server.samples,
-        "outstanding": len(server.attempt_ids),
-        "limit": outstanding_limit(state, server),
+        "number": note.number,
+        "digest": note.digest,
+        "fronts": {
+            front.name: sorted(front.services_by_name)
+            for front in note.configuration.fronts_by_name.values()
+        },
     }
 
 
