Follow the renamed argument of the test harness

Change: the trace tests and the cost tool use the new name. Before: 3 failed, 73 passed. After: 76 pass. Conclusion: green again; the trace replays quarantine and pauses without a change to the codec.

--- a/bench/record_cost.py
+++ b/bench/record_cost.py
@@ -50,7 +50,7 @@
     harness.start(services=SERVICES)
     for call_id in range(SEARCHES):
         for attempt in harness.search(call_id):
-            harness.answer(attempt, hits=HITS_PER_SHARD)
+            harness.answer(attempt, hits_per_shard=HITS_PER_SHARD)
         harness.take(effects.ReplySearch)
         harness.advance(1)
     return harness
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -83,7 +83,7 @@
         elif step == "wait" or not waiting:
             harness.advance(amount * 10)
         elif step == "answer":
-            harness.answer(waiting.pop(number % len(waiting)), hits=number % 4)
+            harness.answer(waiting.pop(number % len(waiting)), hits_per_shard=number % 4)
         else:
             kind = list(events.FailureKind)[number % len(events.FailureKind)]
             attempt = waiting.pop(number % len(waiting))
