--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,72 @@
+"""Processes of a demonstration or load run; all are ended by id, also after an error."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+STOP_LIMIT_S = 10.0
+
+
+@dataclass
+class Processes:
+    """Child processes by name.
+
+    :param log_folder: where each writes its standard error.
+    """
+
+    log_folder: Path
+    by_name: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Start ``python -m module``."""
+        self.log_folder.mkdir(parents=True, exist_ok=True)
+        with (self.log_folder / f"{name}.log").open("wb") as log:
+            self.by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdin=subprocess.DEVNULL, stderr=log
+            )
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self.by_name.pop(name)
+        process.kill()
+        process.wait()
+
+    def ended(self) -> list[str]:
+        """Return the processes that have ended by themselves."""
+        return [name for name, process in self.by_name.items() if process.poll() is not None]
+
+    def stop(self, names: list[str]) -> dict[str, int]:
+        """Ask processes to stop and return their exit statuses."""
+        for name in names:
+            self.by_name[name].send_signal(signal.SIGTERM)
+        return {name: self._wait(name) for name in names}
+
+    def _wait(self, name: str) -> int:
+        process = self.by_name.pop(name)
+        try:
+            return process.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def end_all(self) -> None:
+        """End whatever still runs."""
+        for name in list(self.by_name):
+            self.kill(name)
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses on which nobody listens."""
+    probes = [socket.socket() for _ in range(count)]
+    try:
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+    finally:
+        for probe in probes:
+            probe.close()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import hashlib
 import os
 import random
@@ -215,18 +216,37 @@
     return web.Response(status=status, body=orjson.dumps(body), content_type="application/json")
 
 
+async def serve(servers: list[tuple[str, str, Behaviour]]) -> None:
+    """Run servers, each given by id, address and behaviour, until the process is ended."""
+    for id_, address, behaviour in servers:
+        host, _, port = address.rpartition(":")
+        app = application(Upstream(id_, behaviour))
+        runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+    await asyncio.Event().wait()
+
+
 def main() -> None:
     """Run the stand-in."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--id", required=True)
-    parser.add_argument("--address", required=True)
+    parser.add_argument("--id", default="s1")
+    parser.add_argument("--address", default="127.0.0.1:9100")
     parser.add_argument("--behaviour", default="{}", help="JSON object of Behaviour fields")
+    parser.add_argument(
+        "--servers",
+        default="",
+        help="JSON list of {id, address, behaviour}: several in one process",
+    )
     arguments = parser.parse_args()
-    behaviour = Behaviour(**orjson.loads(arguments.behaviour))
-    host, _, port = arguments.address.rpartition(":")
-    upstream = Upstream(arguments.id, behaviour)
-    app = application(upstream)
-    web.run_app(app, host=host, port=int(port), print=None, handler_cancellation=True)
+    if arguments.servers:
+        rows = orjson.loads(arguments.servers)
+    else:
+        behaviour = orjson.loads(arguments.behaviour)
+        rows = [{"id": arguments.id, "address": arguments.address, "behaviour": behaviour}]
+    servers = [(row["id"], row["address"], Behaviour(**row["behaviour"])) for row in rows]
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve(servers))
 
 
 if __name__ == "__main__":
