Refuse equal listen addresses and report a port that is taken

Cause: two listeners on one address, or a port in use, ended `entry` with a traceback; the commands `state` and `trace` were only tested against a port where nobody listens. Ruled out: a second check of the model for the addresses, because pydantic stops at the first one that fails, and then not all mistakes are listed. Change: one check collects all mistakes that concern several settings; a failed listen exits with 1 and a line. Tests read a small server. Mutants, each failing in test_cmd.py: the error not caught; the status of the answer not looked at. Conclusion: a wrong start says in one line what to change.

--- a/tests/test_cmd.py
+++ b/tests/test_cmd.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import socket
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
 
@@ -127,3 +130,37 @@
         done = runner.invoke(app, arguments)
         assert done.exit_code == 2
         assert "127.0.0.1:1" in done.stderr
+
+
+def test_address_in_use_ends_with_a_message() -> None:
+    """Guards against a traceback, or a process without listeners, when a port is taken."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        flags = ["--instance-id", "e1", "--failure-domain", "plateau", "--caller-address", address]
+        done = runner.invoke(app, ["entry", *flags])
+        assert (done.exit_code, address.split(":")[1] in done.stderr) == (1, True)
+        flags += ["--peer-address", address, "--shutdown-limit-ms", "1"]
+        done = runner.invoke(app, ["entry", *flags])
+        assert "--shutdown-limit-ms must be longer" in done.stderr
+        assert "--peer-address must not be the same as --caller-address" in done.stderr
+
+
+def test_state_and_trace_read_a_process(tmp_path: Path) -> None:
+    """Guards against commands that take an error page for an answer."""
+
+    class Handler(BaseHTTPRequestHandler):
+        def do_GET(self) -> None:
+            self.send_response({"/state": 200, "/trace": 200}.get(self.path, 503))
+            self.end_headers()
+            self.wfile.write(b"{}\n{}\n")
+
+    with ThreadingHTTPServer(("127.0.0.1", 0), Handler) as server:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        url = f"127.0.0.1:{server.server_port}"
+        assert runner.invoke(app, ["state", url]).stdout.startswith("{}")
+        done = runner.invoke(app, ["trace", url, "--out", str(tmp_path / "t")])
+        assert (done.exit_code, (tmp_path / "t").read_bytes()) == (0, b"{}\n{}\n")
+        assert runner.invoke(app, ["replay", str(tmp_path / "t")]).exit_code == 2
+        done = runner.invoke(app, ["state", f"{url}/other"])
+        assert (done.exit_code, "status 503" in done.stderr) == (2, True)
+        server.shutdown()
--- a/turmerictiller/cmd/entry.py
+++ b/turmerictiller/cmd/entry.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+EXIT_CAN_NOT_LISTEN = 1
 EXIT_BAD_SETTINGS = 2
 
 # The first rule that matches the name of a setting gives the panel of its flag.
@@ -32,7 +33,8 @@
 
 Every flag can also be given as an environment variable: --caller-address as
 {ENVIRONMENT_PREFIX}CALLER_ADDRESS. A flag wins over its variable. All mistakes in the settings are
-listed at once; then the exit status is {EXIT_BAD_SETTINGS} and nothing is started.
+listed at once; then the exit status is {EXIT_BAD_SETTINGS} and nothing is started. It is {EXIT_CAN_NOT_LISTEN} if an address can
+not be listened on.
 """
 
 
@@ -55,7 +57,11 @@
     async def serve() -> None:
         await Application(settings).run()
 
-    asyncio.run(serve())
+    try:
+        asyncio.run(serve())
+    except OSError as error:
+        typer.echo(f"turmerictiller: {error.strerror or error}", err=True)
+        raise typer.Exit(EXIT_CAN_NOT_LISTEN) from None
 
 
 def with_flag_names(problem: str) -> str:
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -105,13 +105,26 @@
 
     @model_validator(mode="after")
     def _check_together(self) -> Settings:
-        longest = self.drain_notice_ms + self.max_deadline_ms
-        if self.shutdown_limit_ms <= longest:
-            raise ValueError(
-                "shutdown_limit_ms must be longer than drain_notice_ms plus max_deadline_ms"
-            )
+        problems = [*self._shutdown_problems(), *self._listener_problems()]
+        if problems:
+            raise ValueError("; ".join(problems))
         return self
 
+    def _shutdown_problems(self) -> list[str]:
+        if self.shutdown_limit_ms > self.drain_notice_ms + self.max_deadline_ms:
+            return []
+        return ["shutdown_limit_ms must be longer than drain_notice_ms plus max_deadline_ms"]
+
+    def _listener_problems(self) -> list[str]:
+        name_by_address: dict[str, str] = {}
+        problems = []
+        for name in ("caller_address", "peer_address", "operator_address"):
+            address = getattr(self, name)
+            other = name_by_address.setdefault(address, name)
+            if other != name and not address.endswith(":0"):
+                problems.append(f"{name} must not be the same as {other}")
+        return problems
+
     def with_identity(self) -> Settings:
         """Return the settings with incarnation and seed drawn where they were left out."""
         return self.model_copy(
