Bound the time that checkpoints of the trace take

Ruled out: a ring that starts only with the process, because it can not be replayed once full; a ring that is dropped at a gap, because it is lost under the load that it should explain. Change: from three quarters of a segment on, the first moment without a search starts the next one; checkpoints take at most 1% of the time; without one recording stops and the ring keeps what it has.

--- a/turmerictiller/trace.py
+++ b/turmerictiller/trace.py
@@ -2,13 +2,19 @@
 
 The ring holds up to two segments. A segment starts from a state that can be rebuilt: the start of
 the process, or a checkpoint of the state. When a segment is full, a new one starts with a
-checkpoint, and the older of two is dropped; so at least half of the ring leads up to now. Each line
-holds an event and a digest of its effects.
+checkpoint, and the older of two is dropped. Each line holds an event and a digest of its effects.
+
+A checkpoint takes 1 ms for an idle instance of 30 servers, 15 ms with 81 searches in flight, and
+0.2 s for 3,400 servers. So it is taken at a quiet moment when there is one, and checkpoints take at
+most 1% of the time. If none is allowed when a segment is full, recording stops; the ring keeps what
+it has until a new segment starts after the gap.
 """
 
 from __future__ import annotations
 
 import hashlib
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -20,8 +26,6 @@
 from turmerictiller.reducer import reduce
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from turmerictiller.config import Settings
     from turmerictiller.effects import Effect
     from turmerictiller.events import Event
@@ -31,6 +35,8 @@
 
 FORMAT = 1
 DIGEST_BYTES = 8
+CHECKPOINT_SHARE = 0.01  # of the time
+QUIET_FROM = 0.75  # share of a segment after which a quiet moment starts the next one
 LINE_OVERHEAD_BYTES = 100  # digest, keys and the object that holds a line
 
 
@@ -52,12 +58,17 @@
 
     :param skip: events to let pass before a checkpoint is tried again.
     :param lost: events that were not recorded.
+    :param has_gap: whether events were lost since the last recorded one.
+    :param checkpoint_from_s: when the next checkpoint is allowed.
     """
 
     settings: Settings
+    now_s: Callable[[], float] = time.perf_counter
     segments: list[_Segment] = field(default_factory=lambda: [_Segment(b"")])
     skip: int = 0
     lost: int = 0
+    has_gap: bool = False
+    checkpoint_from_s: float = float("-inf")
     checkpoints: int = 0
     last_error: str = ""
 
@@ -102,7 +113,7 @@
     """Return the ring as JSON lines, the first of which holds the settings without secrets."""
     segments = trace.segments
     lines = [orjson.dumps(_header(trace))]
-    if segments and segments[0].checkpoint:
+    if segments[0].checkpoint:
         lines.append(segments[0].checkpoint)
     for segment in segments:
         lines += segment.lines
@@ -110,8 +121,6 @@
 
 
 def _start_of(trace: Trace) -> str:
-    if not trace.segments:
-        return "none"
     return "checkpoint" if trace.segments[0].checkpoint else "process"
 
 
@@ -126,6 +135,7 @@
         "left_out": left_out,
         "events": sum(len(segment.lines) for segment in trace.segments),
         "lost": trace.lost,
+        "ends_now": not trace.has_gap,
     }
 
 
@@ -133,41 +143,61 @@
     if trace.skip > 0:
         trace.skip -= 1
         return None
+    if trace.has_gap and not _may_checkpoint(trace):
+        return None
     try:
         return dumps(event)
     except TraceError as error:
-        _give_up(trace, str(error), skip=0)
+        _stop(trace, str(error), skip=0)
         return None
 
 
 def _segment_for(trace: Trace, state: State, size: int) -> _Segment | None:
     """Return the segment that takes the next line; ``None`` if there is no room for one."""
-    if trace.segments:
+    if not trace.has_gap:
         last = trace.segments[-1]
-        if len(last.lines) < _max_events(trace) and _fits(trace, last.size + size):
+        has_room = len(last.lines) < _max_events(trace) and _fits(trace, last.size + size)
+        if has_room and not (_is_quiet(last, trace, state) and _may_checkpoint(trace)):
             return last
+    if not _may_checkpoint(trace):
+        _stop(trace, "the next checkpoint would take too much time", skip=0)
+        return None
     return _start_segment(trace, state, size)
 
 
+def _is_quiet(last: _Segment, trace: Trace, state: State) -> bool:
+    return len(last.lines) >= QUIET_FROM * _max_events(trace) and not state.searches_by_id
+
+
+def _may_checkpoint(trace: Trace) -> bool:
+    return trace.now_s() >= trace.checkpoint_from_s
+
+
 def _start_segment(trace: Trace, state: State, size: int) -> _Segment | None:
+    began = trace.now_s()
     try:
         checkpoint = dumps(state, share=True)
     except TraceError as error:
-        _give_up(trace, str(error), skip=_max_events(trace))
+        _stop(trace, str(error), skip=_max_events(trace))
         return None
+    finally:
+        ended = trace.now_s()
+        trace.checkpoint_from_s = ended + (ended - began) / CHECKPOINT_SHARE
     if not _fits(trace, len(checkpoint) + size):
         message = f"a checkpoint of {len(checkpoint)} bytes leaves no room for events"
-        _give_up(trace, message, skip=_max_events(trace))
+        _stop(trace, message, skip=_max_events(trace))
         return None
     segment = _Segment(checkpoint, size=len(checkpoint))
-    trace.segments = [*trace.segments[-1:], segment]
+    # What came before a gap can not be followed by what comes after it.
+    trace.segments = [segment] if trace.has_gap else [*trace.segments[-1:], segment]
+    trace.has_gap = False
     trace.checkpoints += 1
     return segment
 
 
-def _give_up(trace: Trace, message: str, skip: int) -> None:
-    """Drop the ring: what follows a gap can not be replayed from what came before it."""
-    trace.segments = []
+def _stop(trace: Trace, message: str, skip: int) -> None:
+    """Stop recording until a new segment can start."""
+    trace.has_gap = True
     trace.skip = skip
     trace.last_error = message
 
