--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -20,13 +20,16 @@
     Tick,
     TicketRequested,
 )
+from turmerictiller.exposition import exposition
 from turmerictiller.lifecycle import is_leaving
 from turmerictiller.logs import part_logger
-from turmerictiller.operators import operator_application
+from turmerictiller.metrics import Metrics, observe_before, observe_effects
+from turmerictiller.operators import OperatorViews, operator_application
 from turmerictiller.platform_client import PlatformClient
-from turmerictiller.reducer import recover, reduce
+from turmerictiller.reducer import recover
 from turmerictiller.state import new_state
 from turmerictiller.state_dump import dump_state, health
+from turmerictiller.trace import Trace, dump_trace, reduce_recorded
 from turmerictiller.upstreams import UpstreamClient
 
 if TYPE_CHECKING:
@@ -44,6 +47,8 @@
         self.settings = settings
         self.clock = Clock()
         self.state = new_state(settings)
+        self.trace = Trace(settings)
+        self.metrics = Metrics(settings)
         self.started = asyncio.Event()
         self.callers = CallerServer(
             settings,
@@ -62,12 +67,14 @@
 
     def dispatch(self, event: Event) -> None:
         """Reduce one event and carry out its effects; a fault ends only the call concerned."""
+        observe_before(self.metrics, self.state, event)
         try:
-            new = reduce(self.state, event)
+            new = reduce_recorded(self.trace, self.state, event)
         except Exception as error:
             self._carry_out(recover(self.state))
             self._on_fault(event, error)
             return
+        observe_effects(self.metrics, new)
         self._carry_out(new)
 
     def _carry_out(self, new: list[effects.Effect]) -> None:
@@ -96,7 +103,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.shut_down)
         await self.callers.listener.open(self.callers.application())
-        await self._listen(operator_application(self._dump), self.settings.operator_address)
+        operators = operator_application(self._operator_views())
+        await self._listen(operators, self.settings.operator_address)
         self.dispatch(Tick(self.clock.now_ms()))
         self._platform.start()
         log("Started.", caller_address=self.settings.caller_address)
@@ -142,6 +150,14 @@
         await self.callers.listener.wait_until_left()
         self.dispatch(CallersLeft(self.clock.now_ms()))
 
+    def _operator_views(self) -> OperatorViews:
+        return OperatorViews(
+            state=self._dump,
+            health=lambda: health(self.state),
+            trace=lambda: dump_trace(self.trace),
+            metrics=lambda: exposition(self.state, self.metrics, self.trace),
+        )
+
     def _set_wake(self, effect: effects.WakeAt) -> None:
         if self._wake is not None:
             self._wake.cancel()
