Add the text of tickets with a keyed digest

Cause: a request that must run at most once needs a ticket that names its owner and that nobody else can issue. Ruled out: a plain string setting, because state dumps and traces print settings.

--- a/turmerictiller/callers.py
+++ b/turmerictiller/callers.py
@@ -49,6 +49,7 @@
     action: str
     body: dict[str, Any] = {}
     deadline_ms: Annotated[float, Field(allow_inf_nan=False)] | None = None
+    service: str | None = None
 
 
 class CallerServer:
@@ -127,6 +128,7 @@
                 action=body.action,
                 body=body.body,
                 deadline_ms=body.deadline_ms,
+                service=body.service,
             )
         )
 
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -6,7 +6,15 @@
 import secrets
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    SecretStr,
+    ValidationError,
+    field_validator,
+    model_validator,
+)
 
 from turmerictiller.errors import ConfigError
 
@@ -35,10 +43,24 @@
     peers: tuple[str, ...] = Field((), description="IP:PORT of known peers, comma-separated.")
     incarnation: str = Field("", description="Identity of this start; drawn when empty.")
     seed: int = Field(0, description="Seed of the random generator; drawn when 0.", ge=0)
+    ticket_secret: SecretStr = Field(
+        SecretStr(""),
+        description="Secret behind the digests of tickets; drawn when empty.",
+        exclude=True,
+        repr=False,
+    )
 
     max_searches: int = Field(512, description="Searches in flight.", ge=1)
     max_queue_per_service: int = Field(256, description="Waiting calls per service.", ge=1)
     max_tickets: int = Field(20_000, description="Used tickets kept.", ge=1)
+    max_runs: int = Field(512, description="Run requests in flight, own and forwarded.", ge=1)
+    max_waiters_per_ticket: int = Field(16, description="Calls that wait for one run.", ge=1)
+    max_calls_per_ticket: int = Field(
+        32, description="Forwarded calls remembered per ticket.", ge=1
+    )
+    max_ticket_answer_bytes: int = Field(
+        8_388_608, description="Size of all answers kept for repeats.", ge=0
+    )
     max_peers: int = Field(1_000, description="Peers kept.", ge=1)
     max_suspects: int = Field(1_000, description="Quarantine entries kept.", ge=1)
     max_snapshots: int = Field(16, description="Shard maps kept.", ge=2)
@@ -54,6 +76,9 @@
 
     ticket_lifetime_ms: float = Field(600_000, description="Life of a ticket.", gt=0)
     run_deadline_ms: float = Field(2_000, description="Default deadline of a run request.", gt=0)
+    min_run_budget_ms: float = Field(
+        1, description="Shortest budget with which a run request is sent.", gt=0
+    )
     return_margin_ms: float = Field(2, description="Time kept back for the way back.", ge=0)
     hedge_share: float = Field(0.02, description="Hedges per primary call.", ge=0, le=0.2)
     retry_share: float = Field(0.05, description="Retries per primary call.", ge=0, le=0.5)
@@ -114,6 +139,7 @@
             update={
                 "incarnation": self.incarnation or secrets.token_hex(16),
                 "seed": self.seed or secrets.randbits(63) + 1,
+                "ticket_secret": self.ticket_secret or SecretStr(secrets.token_hex(32)),
             }
         )
 
--- a/turmerictiller/errors.py
+++ b/turmerictiller/errors.py
@@ -29,6 +29,22 @@
     """A paging cursor that this system did not issue."""
 
 
+class TicketError(TurmericError):
+    """A ticket that this incarnation can not accept as its own."""
+
+
+class MalformedTicketError(TicketError):
+    """A text that has not the form of a ticket."""
+
+
+class ForeignTicketError(TicketError):
+    """A ticket that names another incarnation."""
+
+
+class ForgedTicketError(TicketError):
+    """A ticket that names this incarnation but was not issued by it."""
+
+
 class TraceError(TurmericError):
     """A trace file that can not be read or replayed."""
 
@@ -40,6 +56,8 @@
     BODY_TOO_LARGE = "body_too_large"
     UNKNOWN_FRONT = "unknown_front"
     UNKNOWN_ACTION = "unknown_action"
+    UNKNOWN_SERVICE = "unknown_service"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
     BAD_CURSOR = "bad_cursor"
     NO_NOTE = "no_note"
     NO_SNAPSHOT = "no_snapshot"
@@ -62,6 +80,8 @@
     RefusalType.BODY_TOO_LARGE: 413,
     RefusalType.UNKNOWN_FRONT: 404,
     RefusalType.UNKNOWN_ACTION: 404,
+    RefusalType.UNKNOWN_SERVICE: 404,
+    RefusalType.DEADLINE_TOO_SHORT: 400,
     RefusalType.BAD_CURSOR: 400,
     RefusalType.NO_NOTE: 503,
     RefusalType.NO_SNAPSHOT: 503,
