Run requests at most once under tickets

Cause: a non-idempotent request must not run twice, and callers must be told truly whether it ran. Ruled out: trusting that a forwarded frame arrives once. A second copy of a frame could run a call that had been told not_run, so the owner remembers the wire_id of every forwarded call it examined. Change: the owner keeps a bounded record per used ticket; repeats join or get the record; another server is tried only after UNSENT, SHED or DRAINING; other instances hand calls on and never say not_run themselves. Run attempts share attempts_by_id; the reducer gives their events to ticket_runs. Bodies and answers that orjson can read but not write are refused or not kept (400 nested lists raise in orjson.dumps).

--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -4,7 +4,16 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller import events, membership, notes_in_force, searches, snapshot
+from turmerictiller import (
+    events,
+    membership,
+    notes_in_force,
+    searches,
+    snapshot,
+    ticket_forwards,
+    ticket_runs,
+    tickets,
+)
 from turmerictiller.effects import WakeAt
 from turmerictiller.state import TimerKind
 
@@ -14,11 +23,47 @@
     from turmerictiller.effects import Effect
     from turmerictiller.state import State
 
+
+def _is_run(state: State, attempt_id: int) -> bool:
+    attempt = state.attempts_by_id.get(attempt_id)
+    return attempt is not None and attempt.is_run
+
+
+def _on_caller_gone(state: State, event: events.CallerGone) -> None:
+    searches.on_caller_gone(state, event)
+    tickets.on_caller_gone(state, event)
+
+
+def _on_attempt_answered(state: State, event: events.AttemptAnswered) -> None:
+    if not _is_run(state, event.attempt_id):
+        searches.on_attempt_answered(state, event)
+
+
+def _on_run_answered(state: State, event: events.RunAnswered) -> None:
+    if _is_run(state, event.attempt_id):
+        ticket_runs.on_run_answered(state, event)
+    elif event.attempt_id not in state.attempts_by_id:
+        state.counters["attempts.late"] += 1
+
+
+def _on_attempt_failed(state: State, event: events.AttemptFailed) -> None:
+    if _is_run(state, event.attempt_id):
+        ticket_runs.on_run_failed(state, event)
+    else:
+        searches.on_attempt_failed(state, event)
+
+
 HANDLER_BY_EVENT: dict[type, Callable[[State, Any], None]] = {
     events.SearchArrived: searches.on_search_arrived,
-    events.CallerGone: searches.on_caller_gone,
-    events.AttemptAnswered: searches.on_attempt_answered,
-    events.AttemptFailed: searches.on_attempt_failed,
+    events.CallerGone: _on_caller_gone,
+    events.AttemptAnswered: _on_attempt_answered,
+    events.RunAnswered: _on_run_answered,
+    events.AttemptFailed: _on_attempt_failed,
+    events.TicketRequested: tickets.on_ticket_requested,
+    events.RunArrived: tickets.on_run_arrived,
+    events.RunForwarded: tickets.on_run_forwarded,
+    events.ForwardAnswered: ticket_forwards.on_forward_answered,
+    events.ForwardFailed: ticket_forwards.on_forward_failed,
     events.NoteSeen: notes_in_force.on_note_seen,
     events.HealthReported: membership.on_health_reported,
     events.HealthFailed: membership.on_health_failed,
@@ -27,6 +72,7 @@
 
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
+    TimerKind.RUN_DEADLINE: tickets.on_deadline,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
 }
 
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -9,6 +9,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from turmerictiller.ticket_table import TicketTable
+
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
     from turmerictiller.config import Settings
@@ -58,7 +60,7 @@
 class Attempt:
     """One call to one server, search or run.
 
-    :param call_id: the search or run that it belongs to.
+    :param call_id: the search that it belongs to; for a run, the sequence number of its ticket.
     """
 
     id: int
@@ -165,6 +167,8 @@
     services_by_name: dict[str, ServiceState] = field(default_factory=dict)
     shard_maps_by_snapshot: dict[str, dict[str, tuple[str, ...]]] = field(default_factory=dict)
     maps_requested_at: dict[str, Millis] = field(default_factory=dict)
+    tickets: TicketTable = field(default_factory=TicketTable)
+    draining: bool = False
     timers: Timers = field(default_factory=Timers)
     counters: Counter[str] = field(default_factory=Counter)
     next_attempt_id: int = 1
--- a/turmerictiller/state_dump.py
+++ b/turmerictiller/state_dump.py
@@ -22,6 +22,13 @@
         "snapshots": sorted(state.shard_maps_by_snapshot),
         "live_instances": live_instances(state),
         "searches_in_flight": len(state.searches_by_id),
+        "tickets": {
+            "issued": state.tickets.next_sequence - 1,
+            "used": len(state.tickets.records_by_sequence),
+            "running": state.tickets.running,
+            "forwards_in_flight": len(state.tickets.forwards_by_call),
+            "answer_bytes": state.tickets.answer_bytes,
+        },
         "attempts_in_flight": len(state.attempts_by_id),
         "timers": len(state.timers),
         "servers": [_server(state, server) for server in state.servers_by_id.values()],
--- /dev/null
+++ b/turmerictiller/ticket_forwards.py
@@ -0,0 +1,108 @@
+"""Run requests handed on to the owner of their ticket."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.attempts import wire_id
+from turmerictiller.effects import ForwardRun
+from turmerictiller.errors import Ran, Refusal, RefusalType
+from turmerictiller.state import TimerKind
+from turmerictiller.ticket_replies import (
+    REFUSED,
+    RETRY_AFTER_MS,
+    parse_refusal,
+    reply_outcome,
+    reply_refusal,
+)
+from turmerictiller.ticket_runs import budget_of
+from turmerictiller.ticket_table import Outcome, Waiter
+
+if TYPE_CHECKING:
+    from turmerictiller.events import ForwardAnswered, ForwardFailed, RunArrived
+    from turmerictiller.state import State
+    from turmerictiller.ticket_codec import Ticket
+
+OUTCOMES = frozenset({"done", "not_run", "unknown"})
+
+
+def forward(state: State, waiter: Waiter, ticket: Ticket, event: RunArrived) -> None:
+    """Hand a run request to the owner of its ticket, or refuse it."""
+    refusal = _check_forward(state, waiter)
+    if refusal is not None:
+        reply_refusal(state, waiter, refusal)
+        return
+    state.tickets.forwards_by_call[waiter.id] = waiter.deadline_at
+    state.timers.add(waiter.deadline_at, TimerKind.RUN_DEADLINE, ("forward", waiter.id))
+    state.counters["runs.forwarded"] += 1
+    state.out.append(
+        ForwardRun(
+            call_id=waiter.id,
+            address=ticket.address,
+            incarnation=ticket.incarnation,
+            front=event.front,
+            ticket=event.ticket,
+            action=event.action,
+            body=event.body,
+            budget_ms=budget_of(state, waiter.deadline_at),
+            service=event.service,
+            wire_id=wire_id(state, waiter.id),
+        )
+    )
+
+
+def _check_forward(state: State, waiter: Waiter) -> Refusal | None:
+    # An earlier call under the ticket may have run, so these refusals do not say "not run".
+    if budget_of(state, waiter.deadline_at) < state.settings.min_run_budget_ms:
+        problem = "too little time is left to reach the owner of the ticket"
+        return Refusal(RefusalType.DEADLINE_TOO_SHORT, problem, Ran.MAYBE)
+    if len(state.tickets.forwards_by_call) >= state.settings.max_runs:
+        problem = "too many run requests are in flight"
+        return Refusal(RefusalType.OVERLOADED, problem, Ran.MAYBE, RETRY_AFTER_MS)
+    return None
+
+
+def on_forward_answered(state: State, event: ForwardAnswered) -> None:
+    """Relay what the owner of a ticket said."""
+    waiter = _end_forward(state, event.call_id)
+    if waiter is None:
+        return
+    if event.outcome == REFUSED:
+        refusal = parse_refusal(event.reason, event.answer, event.retry_after_ms)
+        if refusal is not None:
+            reply_refusal(state, waiter, refusal)
+            return
+    if event.outcome not in OUTCOMES:
+        _reply_unheard(state, waiter, "bad_answer")
+        return
+    told = Outcome(event.outcome, event.answer, event.reason, event.retry_after_ms)
+    reply_outcome(state, waiter, told)
+
+
+def on_forward_failed(state: State, event: ForwardFailed) -> None:
+    """Tell a caller that the owner of its ticket was not heard."""
+    waiter = _end_forward(state, event.call_id)
+    if waiter is not None:
+        _reply_unheard(state, waiter, event.reason)
+
+
+def _end_forward(state: State, call_id: int) -> Waiter | None:
+    deadline_at = state.tickets.forwards_by_call.pop(call_id, None)
+    if deadline_at is None:
+        state.counters["forwards.late"] += 1
+        return None
+    return Waiter(call_id, False, deadline_at)
+
+
+def _reply_unheard(state: State, waiter: Waiter, reason: str) -> None:
+    # The owner may still have a record of the outcome, so a repeat can help.
+    reply_outcome(state, waiter, Outcome("unknown", {}, reason, RETRY_AFTER_MS))
+
+
+def on_forward_deadline(state: State, call_id: int) -> None:
+    """Tell a caller in time that the owner of its ticket was not heard."""
+    if call_id not in state.tickets.forwards_by_call:
+        return
+    waiter = _end_forward(state, call_id)
+    if waiter is not None:
+        _reply_unheard(state, waiter, "timed_out")
--- /dev/null
+++ b/turmerictiller/ticket_runs.py
@@ -0,0 +1,187 @@
+"""Runs of non-idempotent requests at upstreams, on the owner of their ticket."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from turmerictiller.attempts import (
+    close_attempt,
+    new_attempt,
+    observe_answer,
+    observe_failure,
+    wire_id,
+)
+from turmerictiller.effects import CancelAttempt, SendRun
+from turmerictiller.events import FailureKind
+from turmerictiller.membership import observe_status
+from turmerictiller.routing import choose_server, servers_with
+from turmerictiller.state import TimerKind
+from turmerictiller.ticket_replies import RETRY_AFTER_MS, reply_outcome
+from turmerictiller.ticket_table import ANSWER_NOT_KEPT, Outcome, RecordState, Run, TicketRecord
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from turmerictiller.events import AttemptFailed, RunAnswered
+    from turmerictiller.state import Attempt, ServerState, State
+
+MAX_RETRY_AFTER_MS = 60_000
+
+# Only these failures say that the request did not run.
+NOT_RUN_REASON_BY_FAILURE = {
+    FailureKind.UNSENT: "unreachable",
+    FailureKind.SHED: "shed",
+    FailureKind.DRAINING: "draining",
+}
+
+
+def start_run(state: State, record: TicketRecord, run: Run) -> None:
+    """Run a request under a ticket that allows it; the run is settled by its deadline."""
+    record.state = RecordState.RUNNING
+    record.digest = run.request.digest()
+    record.run = run
+    state.tickets.running += 1
+    state.counters["runs.started"] += 1
+    state.timers.add(run.deadline_at, TimerKind.RUN_DEADLINE, ("run", record.sequence))
+    reachable = servers_with(state, run.service, None)
+    _send_or_settle(state, record, run, "no_capacity" if reachable else "unreachable")
+
+
+def budget_of(state: State, deadline_at: float) -> float:
+    """Return the time that is left for an answer, less the way back."""
+    return deadline_at - state.now - state.settings.return_margin_ms
+
+
+def shortest_budget(state: State, service: str) -> float:
+    """Return the budget below which a request can not reach a server of the service."""
+    open_ms = state.note.configuration.services_by_name[service].open_ms if state.note else 0.0
+    return max(state.settings.min_run_budget_ms, open_ms)
+
+
+def _send_or_settle(
+    state: State, record: TicketRecord, run: Run, reason: str, retry_after_ms: float | None = None
+) -> None:
+    server = choose_server(state, run.service, None, run.tried_server_ids)
+    if record.expires_at <= state.now:
+        settle_not_run(state, record, "ticket_expired")
+    elif server is None:
+        settle_not_run(state, record, reason, retry_after_ms)
+    elif budget_of(state, run.deadline_at) < shortest_budget(state, run.service):
+        settle_not_run(state, record, "deadline_too_short")
+    else:
+        _send(state, record, run, server)
+
+
+def _send(state: State, record: TicketRecord, run: Run, server: ServerState) -> None:
+    attempt = new_attempt(state, record.sequence, run.service, server.id)
+    attempt.is_run = True
+    run.attempt_id = attempt.id
+    run.tried_server_ids.add(server.id)
+    state.out.append(
+        SendRun(
+            attempt_id=attempt.id,
+            wire_id=wire_id(state, attempt.id),
+            server_id=server.id,
+            address=server.address,
+            service=run.service,
+            action=run.request.action,
+            body=run.request.body,
+            budget_ms=budget_of(state, run.deadline_at),
+            timeout_ms=run.deadline_at - state.now,
+        )
+    )
+
+
+def on_run_answered(state: State, event: RunAnswered) -> None:
+    """Settle a run that an upstream answered."""
+    attempt = close_attempt(state, event.attempt_id)
+    if attempt is None:
+        return
+    observe_answer(state, attempt)
+    observe_status(state, attempt.server_id, event.status)
+    record = _running_record(state, attempt)
+    if record is not None:
+        _settle_done(state, record, event.answer)
+
+
+def on_run_failed(state: State, event: AttemptFailed) -> None:
+    """Try another server if the request did not run, else settle the run as unknown."""
+    attempt = close_attempt(state, event.attempt_id)
+    if attempt is None:
+        return
+    observe_failure(state, attempt, event)
+    observe_status(state, attempt.server_id, event.status)
+    record = _running_record(state, attempt)
+    if record is None or record.run is None:
+        return
+    reason = NOT_RUN_REASON_BY_FAILURE.get(event.kind)
+    if reason is None:
+        settle_unknown(state, record, event.kind.value)
+    else:
+        _send_or_settle(state, record, record.run, reason, event.retry_after_ms)
+
+
+def on_run_deadline(state: State, sequence: int) -> None:
+    """Settle a run whose time is over; a timer of an earlier run under the ticket is ignored."""
+    record = state.tickets.records_by_sequence.get(sequence)
+    if record is None or record.run is None or record.run.deadline_at > state.now:
+        return
+    attempt_id = record.run.attempt_id
+    if close_attempt(state, attempt_id) is not None:
+        state.out.append(CancelAttempt(attempt_id))
+    settle_unknown(state, record, FailureKind.TIMED_OUT.value)
+
+
+def settle_not_run(
+    state: State, record: TicketRecord, reason: str, retry_after_ms: float | None = None
+) -> None:
+    """Record that nothing ran; a later call may run the request until the ticket expires."""
+    is_live = record.expires_at > state.now
+    record.retry_after_ms = _bounded_retry(retry_after_ms) if is_live else None
+    record.reason = reason
+    _settle(state, record, RecordState.NOT_RUN)
+
+
+def settle_unknown(state: State, record: TicketRecord, reason: str) -> None:
+    """Record that the request may have run; it never runs again."""
+    record.retry_after_ms = None
+    record.reason = reason
+    _settle(state, record, RecordState.UNKNOWN)
+
+
+def _settle_done(state: State, record: TicketRecord, answer: dict[str, Any]) -> None:
+    record.retry_after_ms = None
+    record.reason = ""
+    try:
+        state.tickets.keep_answer(record, answer, state.settings.max_ticket_answer_bytes)
+        told = Outcome("done", answer)
+    except TypeError:
+        # orjson reads deeper nesting than it writes; such an answer can not be handed on.
+        told = Outcome("done", reason=ANSWER_NOT_KEPT)
+    _settle(state, record, RecordState.DONE, told)
+
+
+def _settle(
+    state: State, record: TicketRecord, settled: RecordState, told: Outcome | None = None
+) -> None:
+    record.state = settled
+    record.run = None
+    state.tickets.running -= 1
+    state.counters[f"runs.{settled.value}"] += 1
+    told = told or record.outcome()
+    for waiter in state.tickets.take_waiters(record):
+        reply_outcome(state, waiter, told)
+
+
+def _running_record(state: State, attempt: Attempt) -> TicketRecord | None:
+    record = state.tickets.records_by_sequence.get(attempt.call_id)
+    if record is None or record.run is None or record.run.attempt_id != attempt.id:
+        return None
+    return record
+
+
+def _bounded_retry(retry_after_ms: float | None) -> int:
+    if retry_after_ms is None or not math.isfinite(retry_after_ms):
+        return RETRY_AFTER_MS
+    return int(min(max(1.0, math.ceil(retry_after_ms)), MAX_RETRY_AFTER_MS))
--- /dev/null
+++ b/turmerictiller/tickets.py
@@ -0,0 +1,270 @@
+"""At-most-once requests: tickets, calls under them, and calls handed on to their owner."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+from turmerictiller.effects import ReplyRefusal, ReplyTicket
+from turmerictiller.errors import Ran, Refusal, RefusalType, TicketError
+from turmerictiller.state import TimerKind
+from turmerictiller.ticket_codec import (
+    Ticket,
+    decode_ticket,
+    encode_ticket,
+    ticket_key,
+    verify_ticket,
+)
+from turmerictiller.ticket_forwards import forward, on_forward_deadline
+from turmerictiller.ticket_replies import RETRY_AFTER_MS, reply_outcome, reply_refusal
+from turmerictiller.ticket_runs import budget_of, on_run_deadline, shortest_budget, start_run
+from turmerictiller.ticket_table import (
+    MAY_RUN,
+    Outcome,
+    RecordState,
+    Run,
+    RunRequest,
+    TicketRecord,
+    Waiter,
+)
+
+if TYPE_CHECKING:
+    from turmerictiller.events import (
+        CallerGone,
+        RunArrived,
+        RunForwarded,
+        TicketRequested,
+    )
+    from turmerictiller.state import State
+
+MAX_WIRE_ID_CHARS = 128
+OWNER_RESTARTED = Outcome("unknown", reason="owner_restarted")
+NO_SERVICE = Refusal(RefusalType.UNKNOWN_SERVICE, "the front has no such service")
+STILL_RUNNING = Outcome("unknown", reason="still_running", retry_after_ms=RETRY_AFTER_MS)
+
+
+def on_ticket_requested(state: State, event: TicketRequested) -> None:
+    """Issue a ticket, or refuse it."""
+    refusal = _check_ticket_request(state, event.front)
+    if refusal is not None:
+        state.counters[f"refusals.{refusal.type.value}"] += 1
+        state.out.append(ReplyRefusal(event.call_id, refusal))
+        return
+    settings = state.settings
+    ticket = Ticket(
+        settings.instance_id,
+        settings.peer_address,
+        settings.incarnation,
+        state.tickets.next_sequence,
+        float(state.now + settings.ticket_lifetime_ms),
+    )
+    state.tickets.next_sequence += 1
+    state.counters["tickets.issued"] += 1
+    text = encode_ticket(ticket, ticket_key(settings))
+    state.out.append(ReplyTicket(event.call_id, text, settings.ticket_lifetime_ms))
+
+
+def _check_ticket_request(state: State, front: str) -> Refusal | None:
+    if state.draining:
+        return Refusal(
+            RefusalType.SHUTTING_DOWN, "this instance shuts down", Ran.NO, RETRY_AFTER_MS
+        )
+    if state.note is None:
+        return Refusal(RefusalType.NO_NOTE, "no release note is in force", Ran.NO, RETRY_AFTER_MS)
+    if front not in state.note.configuration.fronts_by_name:
+        return Refusal(RefusalType.UNKNOWN_FRONT, "there is no such search front")
+    return None
+
+
+def on_run_arrived(state: State, event: RunArrived) -> None:
+    """Run a caller's request, or hand it on to the owner of its ticket."""
+    settings = state.settings
+    default_ms = min(settings.run_deadline_ms, settings.max_deadline_ms)
+    deadline_ms = default_ms if event.deadline_ms is None else event.deadline_ms
+    waiter = Waiter(event.call_id, False, event.at + deadline_ms)
+    ticket = _check_call(state, waiter, deadline_ms, event)
+    if ticket is None:
+        return
+    if ticket.incarnation == settings.incarnation:
+        _serve(state, waiter, event.ticket, _request_of(event))
+    elif ticket.address == settings.peer_address:
+        reply_outcome(state, waiter, OWNER_RESTARTED)
+    else:
+        forward(state, waiter, ticket, event)
+
+
+def on_run_forwarded(state: State, event: RunForwarded) -> None:
+    """Run a request that a peer handed on; it is never handed on again."""
+    waiter = Waiter(event.forward_id, True, event.at + event.deadline_ms, event.wire_id)
+    ticket = _check_call(state, waiter, event.deadline_ms, event)
+    if ticket is None:
+        return
+    if not ticket.incarnation == event.incarnation == state.settings.incarnation:
+        reply_outcome(state, waiter, OWNER_RESTARTED)
+        return
+    _serve(state, waiter, event.ticket, _request_of(event))
+
+
+def _request_of(event: RunArrived | RunForwarded) -> RunRequest:
+    return RunRequest(event.front, event.service, event.action, event.body)
+
+
+def _check_call(
+    state: State, waiter: Waiter, deadline_ms: float, event: RunArrived | RunForwarded
+) -> Ticket | None:
+    """Return the ticket of a well-formed call, or refuse the call and return ``None``."""
+    problem = _problem_of(state, waiter, deadline_ms, event)
+    if problem:
+        reply_refusal(state, waiter, Refusal(RefusalType.BAD_REQUEST, problem))
+        return None
+    try:
+        return decode_ticket(event.ticket)
+    except TicketError as error:
+        reply_refusal(state, waiter, Refusal(RefusalType.BAD_TICKET, str(error)))
+        return None
+
+
+def _problem_of(
+    state: State, waiter: Waiter, deadline_ms: float, event: RunArrived | RunForwarded
+) -> str:
+    longest = state.settings.max_deadline_ms
+    if not (math.isfinite(deadline_ms) and 0 < deadline_ms <= longest):
+        return f"deadline_ms must be more than 0 and at most {longest:g}"
+    if len(waiter.wire_id) > MAX_WIRE_ID_CHARS:
+        return f"wire_id must have at most {MAX_WIRE_ID_CHARS} characters"
+    try:
+        _request_of(event).digest()
+    except TypeError:
+        # orjson reads deeper nesting than it writes.
+        return "the body is nested too deeply"
+    return ""
+
+
+def _serve(state: State, waiter: Waiter, text: str, request: RunRequest) -> None:
+    try:
+        ticket = verify_ticket(text, state.settings)
+    except TicketError as error:
+        reply_refusal(state, waiter, Refusal(RefusalType.BAD_TICKET, str(error)))
+        return
+    record = _find_or_add(state, waiter, ticket)
+    if isinstance(record, Refusal):
+        reply_refusal(state, waiter, record)
+    elif record.digest and record.digest != request.digest():
+        problem = "the ticket was used for another request"
+        reply_refusal(state, waiter, Refusal(RefusalType.TICKET_BODY_MISMATCH, problem))
+    elif record.state is RecordState.RUNNING:
+        _join(state, record, waiter)
+    elif record.state in MAY_RUN:
+        _run_or_refuse(state, record, waiter, request)
+    else:
+        reply_outcome(state, waiter, record.outcome())
+
+
+def _find_or_add(state: State, waiter: Waiter, ticket: Ticket) -> TicketRecord | Refusal:
+    table = state.tickets
+    table.evict_expired(state.now)
+    record = table.records_by_sequence.get(ticket.sequence)
+    if record is not None:
+        return record
+    if ticket.expires_at <= state.now:
+        problem = "the ticket has expired; its request may have run, and will not run any more"
+        return Refusal(RefusalType.TICKET_EXPIRED, problem, Ran.MAYBE)
+    if len(table.records_by_sequence) >= state.settings.max_tickets:
+        # Without a record, a second copy of a forwarded frame could still run.
+        ran = Ran.MAYBE if waiter.is_forward else Ran.NO
+        wait_ms = math.ceil((table.next_expiry() or state.now) - state.now)
+        problem = "too many tickets are in use"
+        return Refusal(RefusalType.OVERLOADED, problem, ran, max(RETRY_AFTER_MS, wait_ms))
+    return table.add(ticket.sequence, ticket.expires_at)
+
+
+def _join(state: State, record: TicketRecord, waiter: Waiter) -> None:
+    full = len(record.waiters) >= state.settings.max_waiters_per_ticket
+    if full or waiter.deadline_at <= state.now:
+        reply_outcome(state, waiter, STILL_RUNNING)
+        return
+    state.tickets.add_waiter(record, waiter)
+    state.timers.add(waiter.deadline_at, TimerKind.RUN_DEADLINE, ("waiter", waiter.key))
+
+
+def _run_or_refuse(state: State, record: TicketRecord, waiter: Waiter, request: RunRequest) -> None:
+    if not _note_call(state, record, waiter):
+        reply_outcome(state, waiter, record.outcome())
+        return
+    refusal = _check_run(state, record, waiter, request)
+    service = _service_of(state, request)
+    if refusal is not None or service is None:
+        refusal = refusal or NO_SERVICE
+        record.reason, record.retry_after_ms = refusal.type.value, refusal.retry_after_ms
+        reply_refusal(state, waiter, refusal)
+    elif state.tickets.running >= state.settings.max_runs:
+        record.reason, record.retry_after_ms = "no_capacity", RETRY_AFTER_MS
+        reply_outcome(state, waiter, record.outcome())
+    else:
+        state.tickets.add_waiter(record, waiter)
+        start_run(state, record, Run(request, service, waiter.deadline_at))
+
+
+def _note_call(state: State, record: TicketRecord, waiter: Waiter) -> bool:
+    """Remember a forwarded call; return whether this is the first copy of its frame.
+
+    A call that was told ``not_run`` must not run because a second copy of it arrives.
+    """
+    if not waiter.is_forward:
+        return True
+    if waiter.wire_id in record.wire_ids:
+        return False
+    if len(record.wire_ids) >= state.settings.max_calls_per_ticket:
+        record.reason, record.retry_after_ms = "too_many_calls", None
+        return False
+    record.wire_ids.add(waiter.wire_id)
+    return True
+
+
+def _check_run(
+    state: State, record: TicketRecord, waiter: Waiter, request: RunRequest
+) -> Refusal | None:
+    if record.expires_at <= state.now:
+        return Refusal(RefusalType.TICKET_EXPIRED, "the ticket has expired")
+    if state.note is None:
+        return Refusal(RefusalType.NO_NOTE, "no release note is in force", Ran.NO, RETRY_AFTER_MS)
+    front = state.note.configuration.fronts_by_name.get(request.front)
+    if front is None:
+        return Refusal(RefusalType.UNKNOWN_FRONT, "there is no such search front")
+    if request.action not in front.actions:
+        return Refusal(RefusalType.UNKNOWN_ACTION, "the front has no such action")
+    service = _service_of(state, request)
+    if service is None:
+        return NO_SERVICE
+    if budget_of(state, waiter.deadline_at) < shortest_budget(state, service):
+        return Refusal(RefusalType.DEADLINE_TOO_SHORT, "too little time is left to run this")
+    return None
+
+
+def _service_of(state: State, request: RunRequest) -> str | None:
+    """Return the service that runs a request: the one named, else the front's first by name."""
+    front = state.note.configuration.fronts_by_name.get(request.front) if state.note else None
+    if front is None:
+        return None
+    if request.service is not None:
+        return request.service if request.service in front.services_by_name else None
+    return min(front.services_by_name, default=None)
+
+
+def on_caller_gone(state: State, event: CallerGone) -> None:
+    """Stop waiting on behalf of a caller; its request goes on and its record gets the outcome."""
+    state.tickets.remove_waiter((False, event.call_id))
+    state.tickets.forwards_by_call.pop(event.call_id, None)
+
+
+def on_deadline(state: State, key: tuple[str, Any]) -> None:
+    """Answer what waited until its deadline."""
+    match key:
+        case ("run", sequence):
+            on_run_deadline(state, sequence)
+        case ("waiter", waiter_key):
+            waiter = state.tickets.remove_waiter(waiter_key)
+            if waiter is not None:
+                reply_outcome(state, waiter, STILL_RUNNING)
+        case ("forward", call_id):
+            on_forward_deadline(state, call_id)
