Test each outcome and refusal of at-most-once requests

Cause: the state machine does not reach rare orders of events, such as a second copy of a frame after every server shed the first, or a ticket in its last 500 ms. Ruled out: many more examples of the state machine, because plain tests of these orders are exact.

--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,242 @@
+"""Plain tests of outcomes and refusals of at-most-once requests."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tests.reducing import Harness
+from turmerictiller import effects, events
+from turmerictiller.errors import Ran, RefusalType
+from turmerictiller.events import FailureKind
+
+ACTION: dict[str, Any] = {"front": "booking", "action": "pickup", "body": {"job": 1}}
+
+
+class Owner(Harness):
+    """An instance that issues tickets and runs requests."""
+
+    def __init__(self, **settings: Any) -> None:
+        super().__init__(ticket_secret="s", **settings)
+        self.start(servers=2)
+
+    def ticket(self) -> str:
+        self.send(events.TicketRequested(self.at, 1, "booking"))
+        (reply,) = self.take(effects.ReplyTicket)
+        return reply.ticket
+
+    def run(self, call_id: int, ticket: str, **changes: Any) -> list[effects.SendRun]:
+        event = events.RunArrived(self.at, call_id, ticket=ticket, **{**ACTION, **changes})
+        self.send(event)
+        return self.take(effects.SendRun)
+
+    def forwarded(self, ticket: str, wire_id: str, **changes: Any) -> list[effects.SendRun]:
+        values = {"forward_id": 1, "incarnation": "a1", "deadline_ms": 500.0, **ACTION, **changes}
+        self.send(events.RunForwarded(self.at, ticket=ticket, wire_id=wire_id, **values))
+        return self.take(effects.SendRun)
+
+    def fail(self, sent: effects.SendRun, kind: FailureKind) -> list[effects.SendRun]:
+        self.send(events.AttemptFailed(self.at, sent.attempt_id, kind))
+        return self.take(effects.SendRun)
+
+    def outcome(self) -> tuple[str, str, int | None]:
+        (told,) = self.take(effects.ReplyOutcome) + self.take(effects.AnswerForward)  # type: ignore
+        return told.outcome, told.reason, told.retry_after_ms
+
+    def refusal(self) -> tuple[RefusalType, Ran]:
+        (reply,) = self.take(effects.ReplyRefusal)
+        return reply.refusal.type, reply.refusal.ran
+
+
+def test_repeat_gets_the_record_even_when_the_front_is_gone() -> None:
+    """Guards against a settled outcome that is withheld or run again."""
+    owner = Owner()
+    ticket = owner.ticket()
+    (sent,) = owner.run(1, ticket)
+    assert sent.service == "jobs-0"
+    owner.send(events.CallerGone(owner.at, 1))
+    owner.send(events.RunAnswered(owner.at, sent.attempt_id, {"number": 1}))
+    owner.state.note = None
+    assert owner.run(2, ticket) == []
+    (reply,) = owner.take(effects.ReplyOutcome)
+    assert (reply.call_id, reply.outcome, reply.answer) == (2, "done", {"number": 1})
+
+
+@pytest.mark.parametrize(
+    ("kind", "told"),
+    [
+        (FailureKind.LOST, ("unknown", "lost", None)),
+        (FailureKind.TIMED_OUT, ("unknown", "timed_out", None)),
+        (FailureKind.REJECTED, ("unknown", "rejected", None)),
+        (FailureKind.BAD_ANSWER, ("unknown", "bad_answer", None)),
+        (FailureKind.SNAPSHOT_GONE, ("unknown", "snapshot_gone", None)),
+        (FailureKind.UNSENT, ("not_run", "unreachable", 200)),
+        (FailureKind.SHED, ("not_run", "shed", 200)),
+        (FailureKind.DRAINING, ("not_run", "draining", 200)),
+    ],
+)
+def test_failure_decides_the_outcome(kind: FailureKind, told: tuple[str, str, int | None]) -> None:
+    """Guards against another server after a failure that may have run, and the reverse."""
+    owner = Owner()
+    ticket = owner.ticket()
+    (sent,) = owner.run(1, ticket)
+    for retry in owner.fail(sent, kind):
+        assert told[0] == "not_run"
+        assert retry.server_id != sent.server_id
+        assert owner.fail(retry, kind) == []
+    assert owner.outcome() == told
+    assert bool(owner.run(2, ticket)) == (told[0] == "not_run")
+
+
+@pytest.mark.parametrize(
+    ("changes", "refused"),
+    [
+        ({"front": "none"}, RefusalType.UNKNOWN_FRONT),
+        ({"action": "none"}, RefusalType.UNKNOWN_ACTION),
+        ({"service": "none"}, RefusalType.UNKNOWN_SERVICE),
+        ({"deadline_ms": 7.0}, RefusalType.DEADLINE_TOO_SHORT),
+        ({"deadline_ms": 0.0}, RefusalType.BAD_REQUEST),
+        ({"deadline_ms": float("nan")}, RefusalType.BAD_REQUEST),
+        ({"ticket": "t1.x.y"}, RefusalType.BAD_TICKET),
+    ],
+)
+def test_refused_call_runs_nothing_and_spends_no_ticket(
+    changes: dict[str, Any], refused: RefusalType
+) -> None:
+    """Guards against a mistake in a call that costs the caller its ticket."""
+    owner = Owner()
+    ticket = owner.ticket()
+    assert owner.run(1, **{"ticket": ticket, **changes}) == []
+    assert owner.refusal() == (refused, Ran.NO)
+    (sent,) = owner.run(2, ticket, service="jobs-1")
+    assert sent.service == "jobs-1"
+    assert owner.run(3, ticket) == []
+    assert owner.refusal() == (RefusalType.TICKET_BODY_MISMATCH, Ran.NO)
+
+
+def test_deeply_nested_body_is_refused() -> None:
+    """Guards against a body that can be read but not written, and raises in the reducer."""
+    owner = Owner()
+    nested: list[Any] = []
+    for _ in range(400):
+        nested = [nested]
+    owner.run(1, owner.ticket(), body={"job": nested})
+    assert owner.refusal() == (RefusalType.BAD_REQUEST, Ran.NO)
+
+
+def test_record_lasts_until_expiry_and_the_clock_going_back_revives_nothing() -> None:
+    """Guards against a record that is removed while its ticket could still run."""
+    owner = Owner(ticket_lifetime_ms=5_000)
+    ticket = owner.ticket()
+    (sent,) = owner.run(1, ticket)
+    owner.send(events.RunAnswered(owner.at, sent.attempt_id, {}))
+    owner.at = 4_999.0
+    assert owner.run(2, ticket) == []
+    assert [reply.outcome for reply in owner.take(effects.ReplyOutcome)] == ["done", "done"]
+    for owner.at in (5_000.0, 100.0):
+        assert owner.run(3, ticket) == []
+        assert owner.refusal() == (RefusalType.TICKET_EXPIRED, Ran.MAYBE)
+    assert not owner.state.tickets.records_by_sequence
+
+
+def test_late_wake_settles_the_run_before_anything_else() -> None:
+    """Guards against a paused owner that trusts an answer or runs again after the deadline."""
+    owner = Owner()
+    ticket = owner.ticket()
+    (sent,) = owner.run(1, ticket, deadline_ms=100.0)
+    assert (sent.budget_ms, sent.timeout_ms) == (98.0, 100.0)
+    owner.at = 9_000.0
+    assert owner.fail(sent, FailureKind.UNSENT) == []
+    assert owner.outcome() == ("unknown", "timed_out", None)
+    assert [effect.attempt_id for effect in owner.take(effects.CancelAttempt)] == [sent.attempt_id]
+
+
+def test_earlier_deadline_does_not_settle_a_later_run() -> None:
+    """Guards against a timer of a run that was not run and settles its successor."""
+    owner = Owner()
+    ticket = owner.ticket()
+    (sent,) = owner.run(1, ticket, deadline_ms=100.0)
+    for retry in owner.fail(sent, FailureKind.SHED):
+        owner.fail(retry, FailureKind.SHED)
+    owner.at = 50.0
+    owner.run(2, ticket, deadline_ms=1_000.0)
+    owner.take(effects.ReplyOutcome)
+    owner.advance(500)
+    assert owner.take(effects.ReplyOutcome) == []
+
+
+def test_copy_of_a_denied_frame_does_not_run() -> None:
+    """Guards against a call that runs after it was told not_run."""
+    owner = Owner()
+    ticket = owner.ticket()
+    for sent in owner.forwarded(ticket, "b1-1"):
+        for retry in owner.fail(sent, FailureKind.SHED):
+            owner.fail(retry, FailureKind.SHED)
+    assert owner.outcome() == ("not_run", "shed", 200)
+    assert owner.forwarded(ticket, "b1-1") == []
+    assert owner.outcome() == ("not_run", "shed", 200)
+    assert len(owner.forwarded(ticket, "b1-2")) == 1
+
+
+def test_full_table_refuses_and_leaves_open_whether_a_copy_runs() -> None:
+    """Guards against a promise that the owner can not keep without a record."""
+    owner = Owner(max_tickets=1)
+    owner.run(1, owner.ticket())
+    owner.run(2, owner.ticket())
+    assert owner.refusal() == (RefusalType.OVERLOADED, Ran.NO)
+    owner.forwarded(owner.ticket(), "b1-1")
+    (answer,) = owner.take(effects.AnswerForward)
+    assert (answer.outcome, answer.reason) == ("refused", "overloaded")
+    assert answer.answer["ran"] == "maybe"
+    assert answer.retry_after_ms == 600_000
+
+
+def test_forwarder_hands_on_a_shorter_deadline_and_relays() -> None:
+    """Guards against a forwarder that runs the call, holds it too long, or words it itself."""
+    owner, other = Owner(), Owner(incarnation="b1", peer_address="127.0.0.1:9")
+    other.run(1, owner.ticket(), deadline_ms=100.0)
+    (frame,) = other.take(effects.ForwardRun)
+    assert (frame.address, frame.budget_ms) == (owner.settings.peer_address, 98.0)
+    refused = {"message": "full", "ran": "maybe"}
+    other.send(events.ForwardAnswered(other.at, 1, "refused", refused, "overloaded", 70))
+    assert other.refusal() == (RefusalType.OVERLOADED, Ran.MAYBE)
+    other.run(2, frame.ticket, deadline_ms=1.0)
+    assert other.refusal() == (RefusalType.DEADLINE_TOO_SHORT, Ran.MAYBE)
+    other.run(3, frame.ticket)
+    other.send(events.ForwardFailed(other.at, 3, "unreachable"))
+    assert other.outcome() == ("unknown", "unreachable", 200)
+    other.send(events.ForwardAnswered(other.at, 3, "done", {}))
+    assert other.take(effects.ReplyOutcome) == []
+
+
+def test_restart_under_the_same_address_is_unknown_at_once() -> None:
+    """Guards against a new incarnation that runs, or forwards to itself, an older ticket."""
+    ticket, successor = Owner().ticket(), Owner(incarnation="a2")
+    assert successor.run(1, ticket) == []
+    assert successor.outcome() == ("unknown", "owner_restarted", None)
+    assert successor.forwarded(ticket, "b1-1") == []
+    assert successor.outcome() == ("unknown", "owner_restarted", None)
+    assert successor.take(effects.ForwardRun) == []
+
+
+def test_draining_instance_runs_but_issues_nothing() -> None:
+    """Guards against a ticket that is lost with its owner, and a shutdown that breaks one."""
+    owner = Owner()
+    ticket = owner.ticket()
+    owner.state.draining = True
+    owner.send(events.TicketRequested(owner.at, 5, "booking"))
+    assert owner.refusal() == (RefusalType.SHUTTING_DOWN, Ran.NO)
+    assert len(owner.run(6, ticket)) == 1
+
+
+def test_answers_kept_are_bounded() -> None:
+    """Guards against large answers that fill the memory until their tickets expire."""
+    owner = Owner(max_ticket_answer_bytes=20)
+    ticket = owner.ticket()
+    (sent,) = owner.run(1, ticket)
+    owner.send(events.RunAnswered(owner.at, sent.attempt_id, {"text": "x" * 30}))
+    (reply,) = owner.take(effects.ReplyOutcome)
+    assert reply.answer == {"text": "x" * 30}
+    owner.run(2, ticket)
+    assert owner.outcome() == ("done", "answer_not_kept", None)
