Report a run whose connection does not open as unsent

Cause: the client towards upstreams reported a connection that never opens as timed out, so a run became unknown although no byte was written, and no time was left for another server. Ruled out: a reading of the message of the error. aiohttp raises ClientConnectorError and ConnectionTimeoutError only from opening a connection, before it writes the request. TLS is not used. Change: a run gets run_connect_timeout_ms, at most half of its time, to open its connection; a time-out there is UNSENT. Searches keep their time-outs. Conclusion: UNSENT means that no byte of the request was written.

--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -76,6 +76,9 @@
 
     ticket_lifetime_ms: float = Field(600_000, description="Life of a ticket.", gt=0)
     run_deadline_ms: float = Field(2_000, description="Default deadline of a run request.", gt=0)
+    run_connect_timeout_ms: float = Field(
+        250, description="Time to open a connection for a run request.", gt=0
+    )
     min_run_budget_ms: float = Field(
         1, description="Shortest budget with which a run request is sent.", gt=0
     )
--- a/turmerictiller/upstreams.py
+++ b/turmerictiller/upstreams.py
@@ -126,8 +126,10 @@
             "budget_ms": effect.budget_ms,
         }
         url = f"http://{effect.address}/run"
+        # A connection that does not open in time leaves half of the time for another server.
+        connect_ms = min(self._settings.run_connect_timeout_ms, effect.timeout_ms / 2)
         event = await self._post(
-            self._run_session, url, request, effect.attempt_id, effect.timeout_ms
+            self._run_session, url, request, effect.attempt_id, effect.timeout_ms, connect_ms
         )
         if isinstance(event, AttemptFailed):
             self._dispatch(event)
@@ -149,8 +151,12 @@
         request: dict[str, Any],
         attempt_id: int,
         timeout_ms: float,
+        connect_ms: float | None = None,
     ) -> dict[str, Any] | AttemptFailed:
-        timeout = aiohttp.ClientTimeout(total=max(timeout_ms, 1) / 1000)
+        timeout = aiohttp.ClientTimeout(
+            total=max(timeout_ms, 1) / 1000,
+            sock_connect=None if connect_ms is None else max(connect_ms, 1) / 1000,
+        )
         try:
             # POST is never repeated by aiohttp itself, unlike GET on a kept connection.
             async with session.post(
@@ -163,7 +169,8 @@
                 body = await self._read(response)
                 answer = orjson.loads(body)
                 status = response.status
-        except aiohttp.ClientConnectorError:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            # Both are raised only while the connection is opened, before a byte is written.
             return self._failed(attempt_id, FailureKind.UNSENT)
         except TimeoutError:
             return self._failed(attempt_id, FailureKind.TIMED_OUT)
