Give runs a fingerprint and settle calls to a replaced owner

Cause: all run attempts shared the empty fingerprint, so the loss of servers would blame different requests as one; and a caller was told to come back after another incarnation had answered at the owner's address, although that cannot change the outcome. Ruled out: a fingerprint by ticket, because a request that crashes upstreams may come back under a new ticket. Change: a run attempt carries the digest of its request; a forward that fails with not_owner is unknown without a time to come back. Conclusion: quarantine can tell runs apart; settled outcomes say so.

--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -50,11 +50,15 @@
 
 
 def test_repeat_gets_the_record_even_when_the_front_is_gone() -> None:
-    """Guards against a settled outcome that is withheld or run again."""
+    """Guards against a settled outcome that is withheld or run again, and runs blamed as one."""
     owner = Owner()
     ticket = owner.ticket()
     (sent,) = owner.run(1, ticket)
     assert sent.service == "jobs-0"
+    other = owner.run(9, owner.ticket(), body={"job": 2})[0]
+    blamed = [owner.state.attempts_by_id[item.attempt_id].fingerprint for item in (sent, other)]
+    assert "" not in blamed
+    assert blamed[0] != blamed[1]
     owner.send(events.CallerGone(owner.at, 1))
     owner.send(events.RunAnswered(owner.at, sent.attempt_id, {"number": 1}))
     owner.state.note = None
@@ -206,6 +210,9 @@
     other.run(3, frame.ticket)
     other.send(events.ForwardFailed(other.at, 3, "unreachable"))
     assert other.outcome() == ("unknown", "unreachable", 200)
+    other.run(4, frame.ticket)
+    other.send(events.ForwardFailed(other.at, 4, "not_owner"))
+    assert other.outcome() == ("unknown", "owner_restarted", None)
     other.send(events.ForwardAnswered(other.at, 3, "done", {}))
     assert other.take(effects.ReplyOutcome) == []
 
--- a/turmerictiller/ticket_forwards.py
+++ b/turmerictiller/ticket_forwards.py
@@ -23,6 +23,8 @@
     from turmerictiller.state import State
     from turmerictiller.ticket_codec import Ticket
 
+NOT_OWNER = "not_owner"  # another incarnation answered at the owner's address
+OWNER_RESTARTED = Outcome("unknown", reason="owner_restarted")
 OUTCOMES = frozenset({"done", "not_run", "unknown"})
 
 
@@ -82,7 +84,11 @@
 def on_forward_failed(state: State, event: ForwardFailed) -> None:
     """Tell a caller that the owner of its ticket was not heard."""
     waiter = _end_forward(state, event.call_id)
-    if waiter is not None:
+    if waiter is None:
+        return
+    if event.reason == NOT_OWNER:
+        reply_outcome(state, waiter, OWNER_RESTARTED)
+    else:
         _reply_unheard(state, waiter, event.reason)
 
 
--- a/turmerictiller/ticket_runs.py
+++ b/turmerictiller/ticket_runs.py
@@ -76,6 +76,7 @@
 def _send(state: State, record: TicketRecord, run: Run, server: ServerState) -> None:
     attempt = new_attempt(state, record.sequence, run.service, server.id)
     attempt.is_run = True
+    attempt.fingerprint = record.digest
     run.attempt_id = attempt.id
     run.tried_server_ids.add(server.id)
     state.out.append(
--- a/turmerictiller/tickets.py
+++ b/turmerictiller/tickets.py
@@ -15,7 +15,7 @@
     ticket_key,
     verify_ticket,
 )
-from turmerictiller.ticket_forwards import forward, on_forward_deadline
+from turmerictiller.ticket_forwards import OWNER_RESTARTED, forward, on_forward_deadline
 from turmerictiller.ticket_replies import RETRY_AFTER_MS, reply_outcome, reply_refusal
 from turmerictiller.ticket_runs import budget_of, on_run_deadline, shortest_budget, start_run
 from turmerictiller.ticket_table import (
@@ -38,7 +38,6 @@
     from turmerictiller.state import State
 
 MAX_WIRE_ID_CHARS = 128
-OWNER_RESTARTED = Outcome("unknown", reason="owner_restarted")
 NO_SERVICE = Refusal(RefusalType.UNKNOWN_SERVICE, "the front has no such service")
 STILL_RUNNING = Outcome("unknown", reason="still_running", retry_after_ms=RETRY_AFTER_MS)
 
