--- a/turmerictiller/caller_bodies.py
+++ b/turmerictiller/caller_bodies.py
@@ -46,6 +46,7 @@
     action: Annotated[str, Field(max_length=MAX_NAME_CHARS)]
     body: dict[str, Any] = {}
     deadline_ms: Deadline | None = None
+    service: str | None = None
 
 
 def parse_json(raw: bytes) -> Any:
