--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -20,7 +20,7 @@
 from turmerictiller.cmd.main import app
 from turmerictiller.codec import dumps, loads
 from turmerictiller.errors import RefusalType, TraceError
-from turmerictiller.reducer import reduce
+from turmerictiller.reducer import recover, reduce
 from turmerictiller.replay import replay
 from turmerictiller.trace import Trace, dump_trace, reduce_recorded
 
@@ -182,10 +182,15 @@
     harness = RecordingHarness()
 
     def failing(state: Any, event: Any) -> list[effects.Effect]:
+        if event.at != 1.0:
+            return reduce(state, event)
+        state.out.append(effects.Stop())
         raise KeyError("x")
 
     with pytest.raises(KeyError):
         reduce_recorded(harness.trace, harness.state, events.Tick(1.0), failing)
+    assert recover(harness.state)[0] == effects.Stop()
+    harness.send(events.Tick(2.0))
     assert replay(harness.lines(), failing).differing is None
     assert replay(harness.lines()).differing is not None
 
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -54,7 +54,14 @@
     max_equal_logs: int = Field(10, description="Equal log lines in ten seconds.", ge=1)
     max_logs: int = Field(200, description="Log lines in ten seconds.", ge=1)
     max_histograms: int = Field(256, description="Fronts and services with histograms.", ge=2)
-    read_timeout_ms: float = Field(5_000, description="Time to read one call.", gt=0)
+    read_timeout_ms: float = Field(
+        5_000,
+        description="Time for a caller to send headers, to send a body or to take an answer.",
+        gt=0,
+    )
+    caller_idle_ms: float = Field(
+        75_000, description="Idle time after which a caller's connection is closed.", gt=0
+    )
 
     ticket_lifetime_ms: float = Field(600_000, description="Life of a ticket.", gt=0)
     run_deadline_ms: float = Field(2_000, description="Default deadline of a run request.", gt=0)
--- a/turmerictiller/metrics.py
+++ b/turmerictiller/metrics.py
@@ -78,8 +78,10 @@
                 series = _series(metrics, metrics.attempts_by_service, attempt.service)
                 record(series, event.at - attempt.sent_at)
         case SearchArrived():
-            if len(metrics.front_by_call) < metrics.settings.max_searches:
-                metrics.front_by_call[event.call_id] = event.front
+            # A call whose event failed gets no effect, so its entry stays until it is the oldest.
+            if len(metrics.front_by_call) >= metrics.settings.max_searches:
+                del metrics.front_by_call[next(iter(metrics.front_by_call))]
+            metrics.front_by_call[event.call_id] = event.front
         case CallerGone():
             metrics.front_by_call.pop(event.call_id, None)
 
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -7,6 +7,7 @@
 from turmerictiller import (
     events,
     housekeeping,
+    lifecycle,
     membership,
     notes_in_force,
     pauses,
@@ -31,11 +32,14 @@
     events.HealthReported: membership.on_health_reported,
     events.HealthFailed: membership.on_health_failed,
     events.ShardMapSeen: snapshot.on_shard_map_seen,
+    events.ShutdownRequested: lifecycle.on_shutdown_requested,
+    events.CallersLeft: lifecycle.on_callers_left,
 }
 
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
+    TimerKind.SHUTDOWN: lifecycle.on_shutdown_timer,
     TimerKind.HOUSEKEEPING: housekeeping.on_housekeeping,
 }
 
@@ -46,14 +50,23 @@
     pauses.start_housekeeping(state)
     _run_due_timers(state)
     handler = HANDLER_BY_EVENT.get(type(event))
-    if handler is not None:
+    if lifecycle.admits(state, event) and handler is not None:
         handler(state, event)
+        lifecycle.observe_note(state)
         _run_due_timers(state)
     _request_wake(state)
     effects, state.out = state.out, []
     return effects
 
 
+def recover(state: State) -> list[Effect]:
+    """Return the effects that an interrupted event left behind, with the wake-up asked for again."""
+    state.wake_at = None
+    _request_wake(state)
+    effects, state.out = state.out, []
+    return effects
+
+
 def _run_due_timers(state: State) -> None:
     while (due := state.timers.pop_due(state.now)) is not None:
         kind, key = due
--- a/turmerictiller/state_dump.py
+++ b/turmerictiller/state_dump.py
@@ -6,6 +6,7 @@
 
 from turmerictiller.dump_searches import dump_searches
 from turmerictiller.dump_servers import dump_servers
+from turmerictiller.lifecycle import is_leaving
 from turmerictiller.limits import live_instances
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
         "incarnation": state.settings.incarnation,
         "failure_domain": state.settings.failure_domain,
         "now_ms": round(state.now, 1),
+        "phase": state.lifecycle.phase.value,
         "health": health(state),
         "note": _note(state),
         "snapshots": sorted(state.shard_maps_by_snapshot),
@@ -61,4 +63,7 @@
     reason = "" if state.note else "no release note is in force"
     if not reason and not has_server:
         reason = "no upstream has reported a snapshot"
-    return {"alive": True, "ready": not reason, "reason": reason}
+    if is_leaving(state):
+        reason = "the instance is shutting down"
+    phase = state.lifecycle.phase.value
+    return {"alive": True, "ready": not reason, "reason": reason, "phase": phase}
