Validate the defaults of settings

Ruled out: equal digests for 1 and 1.0, because a reducer that mixes them up would pass. Change: defaults are validated like given values. Mutant: defaults not validated; test_trace.py fails. Conclusion: settings mean the same in the process and at the desk.

--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -19,6 +19,7 @@
 from turmerictiller import codec, effects, events, trace
 from turmerictiller.cmd.main import app
 from turmerictiller.codec import dumps, loads
+from turmerictiller.config import Settings
 from turmerictiller.errors import RefusalType, TraceError
 from turmerictiller.reducer import recover, reduce
 from turmerictiller.replay import replay
@@ -246,6 +247,12 @@
     assert first_event["$"] == "events:SearchArrived"
 
 
+def test_settings_are_the_same_after_a_trace() -> None:
+    """Guards against a default whose type changes on the way, which makes effects differ."""
+    settings = RecordingHarness().settings
+    assert repr(Settings(**settings.model_dump(mode="json"))) == repr(settings)
+
+
 def test_secrets_are_not_in_a_trace(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a trace that lets its reader forge what only the process may sign."""
     monkeypatch.setattr(trace, "SECRET", "seed")
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -24,7 +24,9 @@
 class Settings(BaseModel):
     """All settings of one process. Times are in milliseconds, sizes in bytes."""
 
-    model_config = ConfigDict(frozen=True, extra="forbid")
+    # Defaults are validated too: a whole number given for a float would change its type on the way
+    # through a trace, and then effects differ.
+    model_config = ConfigDict(frozen=True, extra="forbid", validate_default=True)
 
     instance_id: str = Field(description="Name of this instance.", pattern=r"^[A-Za-z0-9_-]{1,64}$")
     failure_domain: str = Field(description="Failure domain of this instance.", min_length=1)
