--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -26,7 +26,7 @@
 from turmerictiller.metrics import Metrics, observe_before, observe_effects
 from turmerictiller.operators import OperatorViews, operator_application
 from turmerictiller.platform_client import PlatformClient
-from turmerictiller.reducer import recover, reduce
+from turmerictiller.reducer import recover
 from turmerictiller.state import new_state
 from turmerictiller.state_dump import dump_state, health
 from turmerictiller.trace import Trace, dump_trace, reduce_recorded
@@ -67,17 +67,17 @@
 
     def dispatch(self, event: Event) -> None:
         """Reduce one event and carry out its effects; a fault ends only the call concerned."""
+        observe_before(self.metrics, self.state, event)
         try:
-            observe_before(self.metrics, self.state, event)
-            new = reduce_recorded(self.trace, self.state, event, reduce)
+            new = reduce_recorded(self.trace, self.state, event)
         except Exception as error:
             self._carry_out(recover(self.state))
             self._on_fault(event, error)
             return
+        observe_effects(self.metrics, new)
         self._carry_out(new)
 
     def _carry_out(self, new: list[effects.Effect]) -> None:
-        observe_effects(self.metrics, new)
         for effect in new:
             run = self._run_by_effect.get(type(effect))
             if run is None:
@@ -142,14 +142,6 @@
             effects.Stop: lambda effect: self._stopped.set(),
         }
 
-    def _operator_views(self) -> OperatorViews:
-        return OperatorViews(
-            state=self._dump,
-            health=lambda: health(self.state),
-            trace=lambda: dump_trace(self.trace),
-            metrics=lambda: exposition(self.state, self.metrics, self.trace, self.callers.counters),
-        )
-
     def _close_listeners(self, effect: effects.CloseListeners) -> None:
         self.callers.listener.close_listening()
         self._closing = asyncio.get_running_loop().create_task(self._wait_for_callers())
@@ -158,6 +150,14 @@
         await self.callers.listener.wait_until_left()
         self.dispatch(CallersLeft(self.clock.now_ms()))
 
+    def _operator_views(self) -> OperatorViews:
+        return OperatorViews(
+            state=self._dump,
+            health=lambda: health(self.state),
+            trace=lambda: dump_trace(self.trace),
+            metrics=lambda: exposition(self.state, self.metrics, self.trace, self.callers.counters),
+        )
+
     def _set_wake(self, effect: effects.WakeAt) -> None:
         if self._wake is not None:
             self._wake.cancel()
