--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -19,8 +19,9 @@
 from turmerictiller import codec, effects, events, trace
 from turmerictiller.cmd.main import app
 from turmerictiller.codec import dumps, loads
+from turmerictiller.config import Settings
 from turmerictiller.errors import RefusalType, TraceError
-from turmerictiller.reducer import reduce
+from turmerictiller.reducer import recover, reduce
 from turmerictiller.replay import replay
 from turmerictiller.trace import Trace, dump_trace, reduce_recorded
 
@@ -92,14 +93,9 @@
             waiting += harness.take(effects.SendSearch)
 
 
-STEPS = st.lists(
-    st.tuples(
-        st.sampled_from(["search", "search", "answer", "answer", "fail", "gone", "wait"]),
-        st.integers(0, 10_000),
-        st.floats(0, 100),
-    ),
-    max_size=40,
-)
+NAMES = ["search", "search", "answer", "answer", "fail", "gone", "wait"]
+STEP = st.tuples(st.sampled_from(NAMES), st.integers(0, 10_000), st.floats(0, 100))
+STEPS = st.lists(STEP, max_size=40)
 FIXED_STEPS = [
     (("search", "fail", "answer", "wait")[number % 4], number, 3.0) for number in range(200)
 ]
@@ -182,10 +178,15 @@
     harness = RecordingHarness()
 
     def failing(state: Any, event: Any) -> list[effects.Effect]:
+        if event.at != 1.0:
+            return reduce(state, event)
+        state.out.append(effects.Stop())
         raise KeyError("x")
 
     with pytest.raises(KeyError):
         reduce_recorded(harness.trace, harness.state, events.Tick(1.0), failing)
+    assert recover(harness.state)[0] == effects.Stop()
+    harness.send(events.Tick(2.0))
     assert replay(harness.lines(), failing).differing is None
     assert replay(harness.lines()).differing is not None
 
@@ -241,6 +242,12 @@
     assert first_event["$"] == "events:SearchArrived"
 
 
+def test_settings_are_the_same_after_a_trace() -> None:
+    """Guards against a default whose type changes on the way, which makes effects differ."""
+    settings = RecordingHarness().settings
+    assert repr(Settings(**settings.model_dump(mode="json"))) == repr(settings)
+
+
 def test_secrets_are_not_in_a_trace(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a trace that lets its reader forge what only the process may sign."""
     monkeypatch.setattr(trace, "SECRET", "seed")
@@ -255,6 +262,20 @@
     assert b"sentinel" not in line
 
 
+def test_tickets_are_rewritten_in_events_and_effects() -> None:
+    """Guards against a replay that takes every ticket for forged, as it lacks the secret."""
+    harness = RecordingHarness()
+    harness.trace.rewrite_ticket = lambda text: text.replace("real", "rewritten")
+
+    def issue(state: Any, event: Any) -> list[effects.Effect]:
+        return [effects.ReplyTicket(1, event.ticket, 5.0)]
+
+    event = events.RunArrived(1.0, 1, "booking", "real-ticket", "pickup", {})
+    reduce_recorded(harness.trace, harness.state, event, issue)
+    assert b"real-ticket" not in harness.lines()[-1]
+    assert replay(harness.lines(), issue).differing is None
+
+
 @dataclass
 class Foreign:
     """A data class of another package."""
@@ -279,23 +300,14 @@
         assert bad[1:] == []
 
 
-@pytest.mark.parametrize(
-    "text",
-    [
-        b'{"$":"os:system","command":"x"}',
-        b'{"$":"..x:Y"}',
-        b'{"$":"events:Tick"}',
-        b'{"$":"events:Tick","at":1,"b":2}',
-        b'{"$enum":"events:Tick","name":"x"}',
-        b'{"$":"cmd.main:app"}',
-        b'{"$":"searches:Refusal","type":1,"message":"x"}',
-        b'{"$ref":3}',
-        b'{"$other":3}',
-        b'{"$settings":null}',
-        b'{"$":7}',
-    ],
-)
-def test_reading_makes_nothing_but_known_types(text: bytes) -> None:
+BAD_VALUES: list[Any] = orjson.loads("""[{"$":"os:system","command":"x"}, {"$":"..x:Y"}, {"$ref":3},
+{"$":"events:Tick"}, {"$":"events:Tick","at":1,"b":2}, {"$enum":"events:Tick","name":"x"}, {"$":7},
+{"$":"cmd.main:app"}, {"$":"searches:Refusal","type":1,"message":"x"}, {"$x":3}, {"$settings":null}]
+""")
+
+
+@pytest.mark.parametrize("value", BAD_VALUES)
+def test_reading_makes_nothing_but_known_types(value: Any) -> None:
     """Guards against a trace file that runs code or makes half an event."""
     with pytest.raises(TraceError):
-        loads(text)
+        loads(orjson.dumps(value))
--- a/turmerictiller/exposition.py
+++ b/turmerictiller/exposition.py
@@ -12,7 +12,7 @@
 from turmerictiller.metrics import QUANTILES
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from turmerictiller.metrics import Metrics, Series
     from turmerictiller.state import State
@@ -25,7 +25,9 @@
 Samples = list[tuple[Labels, float]]
 
 
-def exposition(state: State, metrics: Metrics, trace: Trace) -> Iterator[str]:
+def exposition(
+    state: State, metrics: Metrics, trace: Trace, caller_counters: Mapping[str, int]
+) -> Iterator[str]:
     """Yield the metrics in pieces, each of one family or series, so that a reader can pause."""
     settings = state.settings
     info = {
@@ -35,8 +37,8 @@
         "incarnation": settings.incarnation,
     }
     yield _family("info", "gauge", "Identity of the process.", [({}, 1.0)], info)
-    counters: Samples = [({"name": name}, value) for name, value in sorted(state.counters.items())]
-    yield _family("counter_total", "counter", "Counters of the state, by name.", counters)
+    yield _named("counter_total", "Counters of the state, by name.", state.counters)
+    yield _named("caller_counter_total", "Counters of the callers' server.", caller_counters)
     for name, text, samples in _gauges(state, trace):
         yield _family(name, "gauge", text, samples)
     for name, text, value in _process_counters():
@@ -46,6 +48,11 @@
     yield from _summaries("attempt_seconds", "Latency of upstream calls.", "service", attempts)
 
 
+def _named(name: str, text: str, counters: Mapping[str, int]) -> str:
+    samples: Samples = [({"name": key}, value) for key, value in sorted(counters.items())]
+    return _family(name, "counter", text, samples)
+
+
 def _gauges(state: State, trace: Trace) -> Iterator[tuple[str, str, Samples]]:
     servers = list(state.servers_by_id.values())
     yield "note_number", "Release note in force.", [({}, state.note.number if state.note else 0)]
--- a/turmerictiller/replay.py
+++ b/turmerictiller/replay.py
@@ -11,7 +11,7 @@
 from turmerictiller.codec import Context, decode, loads
 from turmerictiller.config import Settings
 from turmerictiller.errors import TraceError
-from turmerictiller.reducer import reduce
+from turmerictiller.reducer import recover, reduce
 from turmerictiller.state import State, new_state
 from turmerictiller.trace import FORMAT, effects_digest, error_digest
 
@@ -113,4 +113,5 @@
         repeated = effects_digest(effects)
     except Exception as error:
         repeated = error_digest(error)
+        recover(state)
     return Step(number, event, recorded, repeated.decode(), effects)
