--- /dev/null
+++ b/turmerictiller/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from peers.thrift by ``make wire``."""
