Track entry instances by gossip and gate the first note by a join rule

Cause: instances did not know each other. The share of upstream connections followed the settings alone, a stale platform could give a restarted instance an older note, and news of draining servers did not spread. Ruled out: one silence limit for all fleet sizes, because a sample of constant size refreshes 650 members only every 20 s or so; dropping silent peers by time alone, because an instance that is cut off would then take a larger share of connections than it owns; an order of incarnations by clock, because instances share none. Change: members come from settings, instance list and gossip. Each round goes to a few random members and fills a constant number of bytes with draining servers, quarantine entries and a sample of members. A new instance asks the listed peers for their notes and waits for its join rule; refused notes are kept with their reasons. Draining is kept per incarnation of a server. The state dump shows peers, join state and refused notes. Conclusion: membership is proven at this level; the join rule and the notes follow with a state machine of their own, so far without a test.

--- /dev/null
+++ b/tests/test_peer_membership.py
@@ -0,0 +1,159 @@
+"""Tests of the members, their count, and what gossip spreads."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.reducing import Harness
+from turmerictiller import effects, events, frames
+from turmerictiller.gossip_model import DrainingServer, GossipMessage, Member, PeerStatus
+from turmerictiller.limits import live_instances
+from turmerictiller.peer_state import QuarantinedRequest
+
+SERVER = "jobs-0-s0"
+
+
+def _member(number: int, incarnation: str = "i1", heartbeat: int = 1, **changes: Any) -> Member:
+    member = Member(
+        f"p{number}", incarnation, heartbeat, f"10.0.0.{number}:1", "pikine", PeerStatus.READY
+    )
+    return replace(member, **changes)
+
+
+def _hear(harness: Harness, sender: Member, *members: Member, **fields: Any) -> None:
+    message = GossipMessage(sender, members=members, **fields)
+    harness.send(events.GossipReceived(harness.at, message))
+
+
+def _row(number: int, **changes: Any) -> events.ListedInstance:
+    row = events.ListedInstance(
+        f"p{number}", "entry", f"10.0.0.{number}:1", "pikine", False, f"l{number}"
+    )
+    return replace(row, **changes)
+
+
+def _list(harness: Harness, *rows: events.ListedInstance) -> None:
+    harness.send(events.InstanceListSeen(harness.at, 1, rows))
+
+
+def test_restart_under_one_address_replaces_the_older_incarnation() -> None:
+    """Guards against a restarted instance that counts twice, or that stale gossip brings back."""
+    harness = Harness()
+    _hear(harness, _member(1, "old", 50))
+    _hear(harness, _member(1, "new", 1))
+    _hear(harness, _member(2), _member(1, "old", 40), _member(1, "older", 99))
+    assert harness.state.peers.by_id["p1"].incarnation == "new"
+    _hear(harness, _member(3, address="10.0.0.1:1"))
+    _hear(harness, _member(2, heartbeat=2), _member(1, "new", 2))
+    assert harness.state.peers.by_id["p1"].status is PeerStatus.GONE
+    assert live_instances(harness.state) == 3
+
+
+def test_late_message_of_an_ended_incarnation_does_not_shut_out_the_new_one() -> None:
+    """Guards against a peer that is ignored for good after its messages came out of order."""
+    harness = Harness()
+    _hear(harness, _member(1, "new", 1))
+    _hear(harness, _member(1, "old", 50))
+    _hear(harness, _member(1, "new", 2))
+    assert harness.state.peers.by_id["p1"].incarnation == "new"
+
+
+def test_isolated_instance_keeps_counting_everyone() -> None:
+    """Guards against a share of connections that grows while nobody is heard."""
+    harness = Harness(peers="10.0.0.1:1,10.0.0.2:1,10.0.0.9:1,127.0.0.1:8081")
+    assert live_instances(harness.state) == 4
+    for number in range(1, 5):
+        _hear(harness, _member(number))
+    assert live_instances(harness.state) == 6
+    harness.advance(3_600_000)
+    assert live_instances(harness.state) == 6
+
+
+def test_silent_peer_is_dropped_only_when_unlisted_and_most_are_heard() -> None:
+    """Guards against shares that stay small for ever, and against dropping a listed instance."""
+    harness = Harness(peers="10.0.0.9:1")
+    _list(harness, _row(4))
+    for beat in range(1, 200):
+        for number in (1, 2, 3):
+            _hear(harness, _member(number, heartbeat=beat))
+        if beat == 1:
+            _hear(harness, _member(5))
+        harness.advance(1_000)
+        if beat == 30:
+            assert live_instances(harness.state) == 7
+    assert live_instances(harness.state) == 5
+    _list(harness)
+    _hear(harness, _member(1, heartbeat=200, status=PeerStatus.GONE))
+    assert live_instances(harness.state) == 3
+    _hear(harness, _member(5, heartbeat=2))
+    assert live_instances(harness.state) == 4
+
+
+def test_peer_table_is_bounded() -> None:
+    """Guards against memory that grows with every address a peer invents."""
+    harness = Harness(max_peers=10)
+    for number in range(1, 100):
+        _hear(harness, _member(200), _member(number))
+    _list(harness, *[_row(number) for number in range(100, 150)])
+    assert len(harness.state.peers.by_id) == len(harness.state.peers.id_by_address) == 10
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from(["status", "drain", "list", "gossip"]), st.integers(0, 2)))
+)
+def test_draining_is_sticky_and_bound_to_its_incarnation(steps: list[tuple[str, int]]) -> None:
+    """Guards against stale news that stops a new incarnation, and against draining that reverts."""
+    harness = Harness()
+    snapshot = harness.start()
+    server = harness.state.servers_by_id[SERVER]
+    drained: set[str] = set()
+    for kind, number in steps:
+        incarnation = f"s{number}"
+        if kind in ("status", "drain"):
+            status = events.UpstreamStatus(incarnation, kind == "drain", (snapshot,))
+            harness.send(events.HealthReported(harness.at, SERVER, status))
+        elif kind == "list":
+            _list(
+                harness, _row(0, id=SERVER, kind="upstream", leaving=True, incarnation=incarnation)
+            )
+            _list(harness, _row(0, id=SERVER, kind="upstream", leaving=True, incarnation=""))
+        else:
+            _hear(harness, _member(1), draining=(DrainingServer(SERVER, incarnation),))
+        if kind != "status":
+            drained.add(incarnation)
+        assert server.draining == (server.incarnation in drained)
+        is_used = SERVER in [attempt.server_id for attempt in harness.search(harness.at)]
+        assert not (is_used and server.draining)
+
+
+def test_gossip_of_650_members_keeps_to_its_budget() -> None:
+    """Guards against gossip that grows with the fleet, and against a budget that is left unused."""
+    harness = Harness(incarnation="f" * 32)
+    harness.start()
+    peers = harness.state.peers
+    for number in range(650):
+        address = f"10.100.{number // 250 + 100}.{number % 250 + 1}:18081"
+        _hear(harness, _member(number, "f" * 32, address=address, domain="kathmandu-east"))
+    for server in harness.state.servers_by_id.values():
+        server.incarnation = "e" * 32
+        server.draining_incarnations = ("e" * 32,)
+    for number in range(50):
+        item = QuarantinedRequest(f"{number:024}", 1.5, ("a" * 20, "b" * 20), 1e9)
+        peers.quarantine_by_fingerprint[item.fingerprint] = item
+    harness.take(effects.SendGossip)
+    harness.advance(20_000)
+    sent = harness.take(effects.SendGossip)
+    sizes = [
+        len(frames.encode_frame(frames.Frame(2**40, effect.message), 10_000)) + 104
+        for effect in sent
+    ]
+    assert len(sizes) <= 3 * 23
+    assert 2 * 3 * max(sizes) <= 9_000
+    assert 2 * 3 * max(sizes) >= 8_000
+    for effect in sent:
+        message = effect.message
+        assert min(map(len, (message.draining, message.quarantine, message.members))) >= 2
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -64,6 +64,29 @@
     gossip_interval_ms: float = Field(1_000, description="Time between gossip rounds.", gt=0)
     gossip_fanout: int = Field(3, description="Peers per gossip round.", ge=1, le=16)
     peer_timeout_ms: float = Field(5_000, description="Silence after which a peer is down.", gt=0)
+    peer_forget_ms: float = Field(
+        60_000, description="Silence after which a peer may no longer count as live.", gt=0
+    )
+    gossip_bytes_per_s: int = Field(
+        9_000, description="Gossip sent and received, packet headers included.", ge=2_000
+    )
+    join_wait_ms: float = Field(
+        2_000, description="Time for peers to answer before the first note.", gt=0
+    )
+    join_contacts: int = Field(32, description="Peers asked per round before joining.", ge=1)
+    note_fetch_timeout_ms: float = Field(
+        5_000, description="Time to fetch a note from a peer.", gt=0
+    )
+    max_refused_notes: int = Field(32, description="Refused notes kept.", ge=1)
+    peer_connect_timeout_ms: float = Field(
+        1_000, description="Time to open a connection to a peer.", gt=0
+    )
+    peer_idle_ms: float = Field(
+        60_000, description="Idle time after which a peer connection is closed.", gt=0
+    )
+    max_peer_requests: int = Field(
+        128, description="Outstanding requests per peer connection.", ge=1
+    )
     pause_threshold_ms: float = Field(1_000, description="Gap that counts as a pause.", gt=0)
 
     drain_notice_ms: float = Field(
--- a/turmerictiller/limits.py
+++ b/turmerictiller/limits.py
@@ -20,8 +20,11 @@
 
 
 def live_instances(state: State) -> int:
-    """Return the number of entry instances believed live, this one included."""
-    return 1 + len(state.settings.peers)
+    """Return the number of entry instances believed live, this one included.
+
+    Silent instances count until they are known to have ended, so that a share is never too large.
+    """
+    return state.peers.live_count
 
 
 def outstanding_limit(state: State, server: ServerState) -> int:
--- a/turmerictiller/membership.py
+++ b/turmerictiller/membership.py
@@ -4,14 +4,22 @@
 
 from typing import TYPE_CHECKING
 
+from turmerictiller import peer_membership
 from turmerictiller.effects import PollHealth
 from turmerictiller.snapshot import request_missing_maps
 from turmerictiller.state import ServerState, ServiceState, State, TimerKind
 
 if TYPE_CHECKING:
-    from turmerictiller.events import HealthFailed, HealthReported, UpstreamStatus
+    from turmerictiller.events import (
+        HealthFailed,
+        HealthReported,
+        InstanceListSeen,
+        UpstreamStatus,
+    )
     from turmerictiller.fronts import Configuration, Server
 
+KEPT_DRAINING_INCARNATIONS = 4
+
 
 def install_configuration(state: State, configuration: Configuration) -> None:
     """Make the servers of the state those of the configuration."""
@@ -70,9 +78,34 @@
     server.status_at = state.now
     if server.incarnation != status.incarnation:
         server.incarnation = status.incarnation
-        server.draining = False
-    server.draining = server.draining or status.draining
+        server.draining = status.incarnation in server.draining_incarnations
+    if status.draining:
+        mark_draining(state, server_id, status.incarnation)
     server.snapshots = status.snapshots
     server.reported_load = status.load
     server.reported_load_at = state.now - status.age_ms
     request_missing_maps(state, server)
+
+
+def mark_draining(state: State, server_id: str, incarnation: str) -> None:
+    """Take no new work to an incarnation of a server; other incarnations are not affected."""
+    server = state.servers_by_id.get(server_id)
+    if server is None or not incarnation:
+        return
+    if server.incarnation == incarnation:
+        server.draining = True
+    if incarnation not in server.draining_incarnations:
+        kept = (*server.draining_incarnations, incarnation)
+        server.draining_incarnations = kept[-KEPT_DRAINING_INCARNATIONS:]
+
+
+def on_instance_list_seen(state: State, event: InstanceListSeen) -> None:
+    """Take in the platform's instance list, which may lag."""
+    peer_membership.observe_list(state, [row for row in event.instances if row.kind == "entry"])
+    for row in event.instances:
+        if row.kind != "upstream" or not row.leaving:
+            continue
+        if not row.incarnation:
+            # Such a row may be about an incarnation that has ended.
+            state.counters["instance_list.leaving_without_incarnation"] += 1
+        mark_draining(state, row.id, row.incarnation)
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller import events, membership, notes_in_force, searches, snapshot
+from turmerictiller import events, gossip, membership, notes_in_force, searches, snapshot
 from turmerictiller.effects import WakeAt
 from turmerictiller.state import TimerKind
 
@@ -20,6 +20,9 @@
     events.AttemptAnswered: searches.on_attempt_answered,
     events.AttemptFailed: searches.on_attempt_failed,
     events.NoteSeen: notes_in_force.on_note_seen,
+    events.InstanceListSeen: membership.on_instance_list_seen,
+    events.GossipReceived: gossip.on_gossip_received,
+    events.PeerFailed: gossip.on_peer_failed,
     events.HealthReported: membership.on_health_reported,
     events.HealthFailed: membership.on_health_failed,
     events.ShardMapSeen: snapshot.on_shard_map_seen,
@@ -27,6 +30,7 @@
 
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
+    TimerKind.GOSSIP: gossip.on_gossip_round,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
 }
 
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -9,6 +9,9 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from turmerictiller.note_state import NotesState
+from turmerictiller.peer_state import PeersState
+
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
     from turmerictiller.config import Settings
@@ -114,6 +117,7 @@
 
     :param fast_ms: moving average of latency that follows changes within a few calls.
     :param slow_ms: moving average of latency over many calls.
+    :param draining_incarnations: the last incarnations known to drain, the newest last.
     """
 
     id: str
@@ -122,6 +126,7 @@
     service: str
     incarnation: str = ""
     draining: bool = False
+    draining_incarnations: tuple[str, ...] = ()
     snapshots: tuple[str, ...] = ()
     status_at: Millis = float("-inf")
     reported_load: float = 0.0
@@ -159,6 +164,8 @@
     now: Millis = 0.0
     rng: random.Random = field(default_factory=random.Random)
     note: NoteInForce | None = None
+    notes: NotesState = field(default_factory=NotesState)
+    peers: PeersState = field(default_factory=PeersState)
     searches_by_id: dict[int, Search] = field(default_factory=dict)
     attempts_by_id: dict[int, Attempt] = field(default_factory=dict)
     servers_by_id: dict[str, ServerState] = field(default_factory=dict)
@@ -174,4 +181,7 @@
 
 def new_state(settings: Settings) -> State:
     """Return the state of an instance that has just started."""
-    return State(settings=settings, rng=random.Random(settings.seed))
+    state = State(settings=settings, rng=random.Random(settings.seed))
+    state.peers.live_count = 1 + len(set(settings.peers) - {settings.peer_address})
+    state.timers.add(state.now, TimerKind.GOSSIP)
+    return state
--- a/turmerictiller/state_dump.py
+++ b/turmerictiller/state_dump.py
@@ -4,9 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
+from turmerictiller.gossip_model import PeerStatus
 from turmerictiller.limits import live_instances, outstanding_limit
+from turmerictiller.peer_membership import contact_addresses, is_heard
+from turmerictiller.peer_state import NEVER
 
 if TYPE_CHECKING:
+    from turmerictiller.note_state import RefusedNote
+    from turmerictiller.peer_state import Peer, QuarantinedRequest
     from turmerictiller.state import ServerState, State
 
 
@@ -21,6 +26,13 @@
         "note": {"number": note.number, "digest": note.digest} if note else None,
         "snapshots": sorted(state.shard_maps_by_snapshot),
         "live_instances": live_instances(state),
+        "join": _join(state),
+        "refused_notes": [_refused(state, note) for note in state.notes.refused_by_digest.values()],
+        "conflicting_notes": sorted(state.notes.conflicting_digests),
+        "peers": [_peer(state, peer) for peer in state.peers.by_id.values()],
+        "quarantine": [
+            _quarantined(state, item) for item in state.peers.quarantine_by_fingerprint.values()
+        ],
         "searches_in_flight": len(state.searches_by_id),
         "attempts_in_flight": len(state.attempts_by_id),
         "timers": len(state.timers),
@@ -46,6 +58,60 @@
     }
 
 
+def _join(state: State) -> dict[str, Any]:
+    join = state.notes.join
+    return {
+        "phase": join.phase.value,
+        "candidate": join.candidate.number if join.candidate else None,
+        "contacts": len(contact_addresses(state)),
+        "asked": sorted(join.first_asked_at),
+        "answers": {
+            address: {"peer": answer.peer_id, "note": answer.note_number}
+            for address, answer in join.answers_by_address.items()
+        },
+    }
+
+
+def _refused(state: State, note: RefusedNote) -> dict[str, Any]:
+    return {
+        "number": note.number,
+        "digest": note.digest,
+        "source": note.source,
+        "times": note.times,
+        "last_ms_ago": round(state.now - note.last_at),
+        "errors": [
+            {"type": error.type.value, "place": error.place, "message": error.message}
+            for error in note.errors
+        ],
+    }
+
+
+def _peer(state: State, peer: Peer) -> dict[str, Any]:
+    is_silent = peer.progress_at == NEVER
+    return {
+        "id": peer.id,
+        "incarnation": peer.incarnation,
+        "address": peer.address,
+        "failure_domain": peer.domain,
+        "status": peer.status.name.lower(),
+        "heartbeat": peer.heartbeat,
+        "last_progress_ms_ago": None if is_silent else round(state.now - peer.progress_at),
+        "heard": is_heard(state, peer),
+        "counted": not peer.is_dropped and peer.status is not PeerStatus.GONE,
+        "listed": peer.is_listed,
+        "note": peer.note_number,
+    }
+
+
+def _quarantined(state: State, item: QuarantinedRequest) -> dict[str, Any]:
+    return {
+        "fingerprint": item.fingerprint,
+        "blame": item.blame,
+        "servers": list(item.servers),
+        "remaining_ms": round(item.until - state.now),
+    }
+
+
 def health(state: State) -> dict[str, Any]:
     """Return what the balancer asks: is the process alive, and ready for callers."""
     has_server = any(
