Connect entry instances by frames over TCP

Cause: gossip, fetched notes and forwarded runs had frames but no connections. Ruled out: closing a connection at once when a request on it times out, because that would turn other runs under way on it into unknown outcomes; TCP keep-alive, because it does not end a connection that has unacknowledged data. Change: one outgoing connection per peer, opened on demand, with answers matched by request id, bounded requests and connections, idle close, and time-outs. A connection on which nothing arrives until a time-out takes no more messages. A sender that is slow, silent or malformed is cut off alone. A run for another incarnation is answered as not the owner's. The frame of a run carries the optional service and the identifier of the call, and outcomes include refusals. Before: no connections.

--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -36,7 +36,7 @@
     frames.NoteRequest(),
     frames.NoteAnswer({"number": 1}),
     frames.NoteAnswer(None),
-    frames.RunRequest("a1", "booking", "t" * 200, "pickup", {"job": 7}, 250.0),
+    frames.RunRequest("a1", "booking", "t" * 200, "pickup", {"job": 7}, 250.0, "jobs-1", "a1-7"),
     frames.RunOutcome("done", {"ok": True}, "", 200),
     frames.RunOutcome(failure="not_owner"),
 ]
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,204 @@
+"""Tests of the connections between instances, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any, TypeVar
+
+import pytest
+
+from turmerictiller import effects, events, frames
+from turmerictiller.clock import Clock
+from turmerictiller.config import load_settings
+from turmerictiller.gossip_model import GossipMessage, Member, PeerStatus
+from turmerictiller.peers import Peers
+
+SENDER = Member("e9", "z9", 1, "127.0.0.1:1", "pikine", PeerStatus.READY)
+LONG_MS = 60_000.0
+E = TypeVar("E")
+
+
+class Node:
+    """One instance's peer connections; collects the events."""
+
+    def __init__(self, **settings: Any) -> None:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.address = f"127.0.0.1:{probe.getsockname()[1]}"
+        values = {"instance_id": "e1", "failure_domain": "plateau", "incarnation": "a1"}
+        given = {**values, "peer_address": self.address, **settings}
+        self.note: dict[str, Any] | None = {"number": 1}
+        self.seen: asyncio.Queue[Any] = asyncio.Queue()
+        self.peers = Peers(load_settings(given), Clock(), self.seen.put_nowait, lambda: self.note)
+
+    async def event(self, kind: type[E]) -> E:
+        event = await self.seen.get()
+        assert isinstance(event, kind), event
+        return event
+
+    def forward(self, address: str, budget_ms: float, incarnation: str = "a1") -> None:
+        self.peers.forward_run(
+            effects.ForwardRun(
+                7, address, incarnation, "booking", "t1", "pickup", {"job": 1}, budget_ms, "s", "w1"
+            )
+        )
+
+
+def _run(test: Callable[[Node, Node], Awaitable[None]], **settings: Any) -> None:
+    async def main() -> None:
+        one, two = Node(**settings), Node(**settings)
+        await one.peers.start()
+        await two.peers.start()
+        try:
+            await test(one, two)
+        finally:
+            await one.peers.close()
+            await two.peers.close()
+
+    asyncio.run(main())
+
+
+def test_gossip_notes_and_runs_reach_the_peer_over_one_connection() -> None:
+    """Guards against answers that reach the wrong request, and a connection per message."""
+
+    async def test(one: Node, two: Node) -> None:
+        one.peers.send_gossip(effects.SendGossip(two.address, GossipMessage(SENDER, 3)))
+        assert (await two.event(events.GossipReceived)).message.note_number == 3
+        one.forward(two.address, LONG_MS)
+        run = await two.event(events.RunForwarded)
+        assert (run.body, run.service, run.wire_id) == ({"job": 1}, "s", "w1")
+        one.peers.fetch_note(effects.FetchNote("e2", two.address))
+        assert (await one.event(events.NoteSeen)).document == {"number": 1}
+        two.peers.server.answer_forward(effects.AnswerForward(run.forward_id, "done", {"ok": 1}))
+        two.peers.server.answer_forward(effects.AnswerForward(run.forward_id, "unknown", {}))
+        answer = await one.event(events.ForwardAnswered)
+        assert (answer.call_id, answer.outcome, answer.answer) == (7, "done", {"ok": 1})
+        assert len(two.peers.server._connections) == 1
+
+    _run(test)
+
+
+def test_other_incarnation_is_not_the_owner() -> None:
+    """Guards against a restarted owner that runs what its predecessor may have run."""
+
+    async def test(one: Node, two: Node) -> None:
+        one.forward(two.address, LONG_MS, incarnation="a0")
+        assert (await one.event(events.ForwardFailed)).reason == "not_owner"
+        assert two.seen.empty()
+
+    _run(test)
+
+
+def test_unreachable_peer_is_reported() -> None:
+    """Guards against a message that vanishes without an event."""
+
+    async def test(one: Node, two: Node) -> None:
+        await two.peers.close()
+        one.forward(two.address, LONG_MS)
+        assert (await one.event(events.ForwardFailed)).reason == "unreachable"
+        one.peers.send_gossip(effects.SendGossip(two.address, GossipMessage(SENDER)))
+        assert (await one.event(events.PeerFailed)).address == two.address
+        one.peers.fetch_note(effects.FetchNote("e2", two.address))
+        assert (await one.event(events.PeerFailed)).reason == "unreachable"
+
+    _run(test)
+
+
+def test_silent_connection_is_given_up_and_replaced() -> None:
+    """Guards against a connection gone silent that costs every later message its time-out."""
+
+    async def test(one: Node, two: Node) -> None:
+        accepted: asyncio.Queue[None] = asyncio.Queue()
+
+        async def mute(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            accepted.put_nowait(None)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(mute, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        one.forward(address, 50.0)
+        assert (await one.event(events.ForwardFailed)).reason == "timed_out"
+        await accepted.get()
+        one.forward(address, LONG_MS)
+        await accepted.get()
+        server.close()
+
+    _run(test)
+
+
+def test_bounds_on_requests_and_connections() -> None:
+    """Guards against memory that grows with messages to a peer that does not answer."""
+
+    async def test(one: Node, two: Node) -> None:
+        one.forward(two.address, LONG_MS)
+        await two.event(events.RunForwarded)
+        one.forward(two.address, LONG_MS)
+        assert (await one.event(events.ForwardFailed)).reason == "too_many_requests"
+        one.forward(one.address, LONG_MS)
+        assert (await one.event(events.ForwardFailed)).reason == "too_many_connections"
+        _, writer = await asyncio.open_connection(*two.address.split(":"))
+        writer.write(frames.encode_frame(frames.Frame(1, frames.NoteRequest()), 1_000))
+        while not two.peers.server.counters["peers.too_many_connections"]:
+            await asyncio.sleep(0.001)
+        writer.close()
+
+    _run(test, max_peer_requests=1, max_peer_connections=1)
+
+
+@pytest.mark.parametrize(
+    ("data", "reason", "settings"),
+    [
+        (b"\x00\x00\x00\x02xx", "malformed", {}),
+        (b"\x7f\xff\xff\xff", "malformed", {}),
+        (frames.encode_frame(frames.Frame(1, frames.NoteAnswer(None)), 99), "malformed", {}),
+        (b"\x00\x00\x00\x09x", "slow_or_idle", {"read_timeout_ms": 20}),
+        (b"", "slow_or_idle", {"peer_idle_ms": 20}),
+    ],
+)
+def test_bad_or_slow_sender_is_cut_off_alone(
+    data: bytes, reason: str, settings: dict[str, Any]
+) -> None:
+    """Guards against a peer's fault that ends the listener or holds a connection for ever."""
+
+    async def test(one: Node, two: Node) -> None:
+        reader, writer = await asyncio.open_connection(*two.address.split(":"))
+        writer.write(data)
+        with suppress(ConnectionError):
+            assert await reader.read() == b""
+        writer.close()
+        while not two.peers.server.counters[f"peers.connections_ended.{reason}"]:
+            await asyncio.sleep(0.001)
+        one.peers.fetch_note(effects.FetchNote("e2", two.address))
+        await one.event(events.NoteSeen)
+
+    _run(test, **settings)
+
+
+def test_peer_that_does_not_read_is_cut_off() -> None:
+    """Guards against memory that grows with gossip to a peer that stopped reading."""
+
+    async def test(one: Node, two: Node) -> None:
+        stopped = asyncio.Event()
+
+        async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await stopped.wait()
+            writer.close()
+
+        server = await asyncio.start_server(hold, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        members = (SENDER,) * 500
+        while one.seen.empty():
+            one.peers.send_gossip(
+                effects.SendGossip(address, GossipMessage(SENDER, members=members))
+            )
+            await asyncio.sleep(0)
+        assert (await one.event(events.PeerFailed)).reason == "slow"
+        stopped.set()
+        server.close()
+
+    _run(test)
--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -14,6 +14,7 @@
 from turmerictiller.events import Event, ShutdownRequested, Tick
 from turmerictiller.logs import part_logger
 from turmerictiller.operators import operator_application
+from turmerictiller.peers import Peers
 from turmerictiller.platform_client import PlatformClient
 from turmerictiller.reducer import reduce
 from turmerictiller.state import new_state
@@ -38,6 +39,7 @@
         self.callers = CallerServer(settings, self.clock, self.dispatch, lambda: health(self.state))
         self._upstreams: UpstreamClient
         self._platform: PlatformClient
+        self._peers: Peers
         self._runners: list[web.AppRunner] = []
         self._wake: asyncio.TimerHandle | None = None
         self._stopped = asyncio.Event()
@@ -54,6 +56,7 @@
         """Serve until the process is told to stop."""
         self._upstreams = UpstreamClient(self.settings, self.clock, self.dispatch)
         self._platform = PlatformClient(self.settings, self.clock, self.dispatch)
+        self._peers = Peers(self.settings, self.clock, self.dispatch, self._note_document)
         self._run_by_effect = self._effect_table()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -61,6 +64,7 @@
         await self._listen(self.callers.application(), self.settings.caller_address, True)
         operators = operator_application(lambda: dump_state(self.state))
         await self._listen(operators, self.settings.operator_address, False)
+        await self._peers.start()
         self.dispatch(Tick(self.clock.now_ms()))
         self._platform.start()
         log("Started.", caller_address=self.settings.caller_address)
@@ -78,11 +82,18 @@
             effects.ReplyRefusal: self.callers.reply,
             effects.ReplyTicket: self.callers.reply,
             effects.ReplyOutcome: self.callers.reply,
+            effects.SendGossip: self._peers.send_gossip,
+            effects.FetchNote: self._peers.fetch_note,
+            effects.ForwardRun: self._peers.forward_run,
+            effects.AnswerForward: self._peers.server.answer_forward,
             effects.WakeAt: self._set_wake,
             effects.WriteLog: self._write_log,
             effects.Stop: lambda effect: self._stopped.set(),
         }
 
+    def _note_document(self) -> dict[str, Any] | None:
+        return self.state.note.document if self.state.note else None
+
     def _on_signal(self) -> None:
         self.dispatch(ShutdownRequested(self.clock.now_ms()))
         self._stopped.set()
@@ -112,6 +123,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._platform.close()
+        await self._peers.close()
         await self._upstreams.close()
         if self._wake is not None:
             self._wake.cancel()
--- a/turmerictiller/effects.py
+++ b/turmerictiller/effects.py
@@ -124,7 +124,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardRun:
-    """Hand a run request to the owner of its ticket."""
+    """Hand a run request to the owner of its ticket.
+
+    :param incarnation: incarnation of the owner.
+    :param budget_ms: time within which the outcome is of use, less the way back.
+    :param wire_id: identifier of the call that never recurs across incarnations.
+    """
 
     call_id: int
     address: str
@@ -134,11 +139,17 @@
     action: str
     body: dict[str, Any]
     budget_ms: float
+    service: str | None = None
+    wire_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class AnswerForward:
-    """Answer a run request that a peer handed on."""
+    """Answer a run request that a peer handed on.
+
+    :param outcome: ``done``, ``not_run``, ``unknown`` or ``refused``. For ``refused``, ``reason``
+        is the refusal's type and ``answer`` holds its ``message`` and ``ran``.
+    """
 
     forward_id: int
     outcome: str
--- a/turmerictiller/errors.py
+++ b/turmerictiller/errors.py
@@ -25,6 +25,17 @@
     """A peer frame that is malformed, oversized or of another protocol version."""
 
 
+class PeerError(TurmericError):
+    """A message to a peer that could not be sent or was not answered.
+
+    :param reason: a short name of the cause, such as ``timed_out``.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
 class CursorError(TurmericError):
     """A paging cursor that this system did not issue."""
 
--- a/turmerictiller/events.py
+++ b/turmerictiller/events.py
@@ -137,13 +137,16 @@
     action: str
     body: dict[str, Any]
     deadline_ms: float | None = None
+    service: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class RunForwarded:
     """A peer hands on a run request whose ticket names this instance.
 
-    :param forward_id: names the peer's call; drawn by the shell.
+    :param forward_id: names the frame that is to be answered; drawn by the shell.
+    :param incarnation: incarnation of the ticket's owner.
+    :param wire_id: names the peer's call; the same in every copy of a frame.
     """
 
     at: Millis
@@ -154,11 +157,16 @@
     action: str
     body: dict[str, Any]
     deadline_ms: float
+    service: str | None = None
+    wire_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class ForwardAnswered:
-    """The owner of a ticket answered a forwarded run request."""
+    """The owner of a ticket answered a forwarded run request.
+
+    :param outcome: as in ``AnswerForward``.
+    """
 
     at: Millis
     call_id: int
--- a/turmerictiller/frames.py
+++ b/turmerictiller/frames.py
@@ -25,8 +25,9 @@
 LENGTH = struct.Struct(">I")
 MAX_TICKET_CHARS = 1_024
 MAX_REASON_CHARS = 1_024
+MAX_WIRE_ID_CHARS = 128
 MAX_BUDGET_MS = 3_600_000.0
-OUTCOMES = frozenset({"done", "not_run", "unknown"})
+OUTCOMES = frozenset({"done", "not_run", "unknown", "refused"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +55,8 @@
     action: str
     body: dict[str, Any]
     budget_ms: float
+    service: str | None = None
+    wire_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +164,8 @@
                 action=message.action,
                 body=orjson.dumps(message.body),
                 budget_ms=message.budget_ms,
+                service_name=message.service,
+                wire_id=message.wire_id,
             )
         case RunOutcome() as message:
             wire.run_outcome = ttypes.RunOutcome(
@@ -204,6 +209,8 @@
         action=text(wire.action, "action"),
         body=_json_object(wire.body, "body"),
         budget_ms=min(max(budget_ms, 0.0), MAX_BUDGET_MS),
+        service=None if wire.service_name is None else text(wire.service_name, "service_name"),
+        wire_id=text(wire.wire_id, "wire_id", MAX_WIRE_ID_CHARS),
     )
 
 
--- /dev/null
+++ b/turmerictiller/peer_server.py
@@ -0,0 +1,169 @@
+"""Listener for other entry instances."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from turmerictiller.errors import FrameError
+from turmerictiller.events import Event, GossipReceived, RunForwarded
+from turmerictiller.frames import (
+    Frame,
+    Message,
+    NoteAnswer,
+    NoteRequest,
+    RunOutcome,
+    RunRequest,
+    encode_frame,
+    read_frame,
+)
+from turmerictiller.gossip_model import GossipMessage
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from turmerictiller.clock import Clock
+    from turmerictiller.config import Settings
+    from turmerictiller.effects import AnswerForward
+
+MAX_UNSENT_BYTES = 4_194_304
+
+
+class PeerServer:
+    """Accepts connections of peers and answers their requests.
+
+    :param note_document: returns the note in force, or ``None``.
+    :ivar counters: connections refused or closed, by reason.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        dispatch: Callable[[Event], None],
+        note_document: Callable[[], dict[str, Any] | None],
+    ) -> None:
+        self.counters: Counter[str] = Counter()
+        self._settings = settings
+        self._clock = clock
+        self._dispatch = dispatch
+        self._note_document = note_document
+        self._forward_ids = itertools.count(1)
+        self._forwards_by_id: dict[int, tuple[asyncio.StreamWriter, int]] = {}
+        self._connections: dict[asyncio.Task[Any], asyncio.StreamWriter] = {}
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on the peer address."""
+        host, _, port = self._settings.peer_address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host.strip("[]"), int(port))
+
+    async def close(self) -> None:
+        """Close the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task, writer in list(self._connections.items()):
+            task.cancel()
+            writer.transport.abort()
+        await asyncio.gather(*self._connections, return_exceptions=True)
+
+    def answer_forward(self, effect: AnswerForward) -> None:
+        """Send the outcome of a forwarded run, if its connection is still open."""
+        waiting = self._forwards_by_id.pop(effect.forward_id, None)
+        if waiting is None:
+            return
+        writer, request_id = waiting
+        outcome = RunOutcome(effect.outcome, effect.answer, effect.reason, effect.retry_after_ms)
+        self._answer(writer, request_id, outcome)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        if len(self._connections) >= self._settings.max_peer_connections:
+            self.counters["peers.too_many_connections"] += 1
+            writer.transport.abort()
+            return
+        self._connections[task] = writer
+        reason = "closed"
+        try:
+            await self._read(reader, writer)
+        except FrameError:
+            reason = "malformed"
+        except TimeoutError:
+            reason = "slow_or_idle"
+        except (EOFError, OSError):
+            reason = "closed"
+        except asyncio.CancelledError:
+            # Ends here: asyncio's callback for connections reports a cancelled task as a fault.
+            reason = "shutdown"
+        finally:
+            self.counters[f"peers.connections_ended.{reason}"] += 1
+            del self._connections[task]
+            self._forget_forwards(writer)
+            writer.transport.abort()
+
+    async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        settings = self._settings
+        while True:
+            async with asyncio.timeout(settings.peer_idle_ms / 1000):
+                timeout_s = settings.read_timeout_ms / 1000
+                frame = await read_frame(reader, settings.max_frame_bytes, timeout_s)
+            self._handle(writer, frame)
+
+    def _handle(self, writer: asyncio.StreamWriter, frame: Frame) -> None:
+        now = self._clock.now_ms()
+        match frame.message:
+            case GossipMessage() as message:
+                self._dispatch(GossipReceived(now, message))
+            case NoteRequest():
+                self._answer(writer, frame.request_id, NoteAnswer(self._note_document()))
+            case RunRequest() as request:
+                self._run(writer, frame.request_id, request)
+            case _:
+                raise FrameError("an answer without a request")
+
+    def _run(self, writer: asyncio.StreamWriter, request_id: int, request: RunRequest) -> None:
+        if request.incarnation != self._settings.incarnation:
+            self._answer(writer, request_id, RunOutcome(failure="not_owner"))
+            return
+        outstanding = sum(1 for other, _ in self._forwards_by_id.values() if other is writer)
+        if outstanding >= self._settings.max_peer_requests:
+            self._answer(writer, request_id, RunOutcome(failure="too_many_requests"))
+            return
+        forward_id = next(self._forward_ids)
+        self._forwards_by_id[forward_id] = (writer, request_id)
+        self._dispatch(
+            RunForwarded(
+                self._clock.now_ms(),
+                forward_id,
+                request.incarnation,
+                request.front,
+                request.ticket,
+                request.action,
+                request.body,
+                request.budget_ms,
+                request.service,
+                request.wire_id,
+            )
+        )
+
+    def _answer(self, writer: asyncio.StreamWriter, request_id: int, message: Message) -> None:
+        if writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.counters["peers.slow_reader"] += 1
+            writer.transport.abort()
+            return
+        try:
+            data = encode_frame(Frame(request_id, message), self._settings.max_frame_bytes)
+        except FrameError:
+            self.counters["peers.answer_not_sent"] += 1
+            return
+        writer.write(data)
+
+    def _forget_forwards(self, writer: asyncio.StreamWriter) -> None:
+        self._forwards_by_id = {
+            forward_id: waiting
+            for forward_id, waiting in self._forwards_by_id.items()
+            if waiting[0] is not writer
+        }
--- a/turmerictiller/peers.thrift
+++ b/turmerictiller/peers.thrift
@@ -56,7 +56,7 @@
   1: binary document,
 }
 
-/** The body is JSON. The incarnation is that of the owner of the ticket. */
+/** The body is JSON. The incarnation is that of the owner of the ticket; wire_id names the call. */
 struct RunRequest {
   1: string incarnation,
   2: string front,
@@ -64,6 +64,8 @@
   4: string action,
   5: binary body,
   6: double budget_ms,
+  7: optional string service_name,
+  8: string wire_id,
 }
 
 /** The answer is JSON. A failure is set when the ticket was not examined. */
--- a/turmerictiller/wire/peers/ttypes.py
+++ b/turmerictiller/wire/peers/ttypes.py
@@ -673,7 +673,7 @@
 
 class RunRequest(object):
     """
-    The body is JSON. The incarnation is that of the owner of the ticket.
+    The body is JSON. The incarnation is that of the owner of the ticket; wire_id names the call.
 
     Attributes:
      - incarnation
@@ -682,6 +682,8 @@
      - action
      - body
      - budget_ms
+     - service_name
+     - wire_id
 
     """
 
@@ -692,16 +694,20 @@
         'action',
         'body',
         'budget_ms',
+        'service_name',
+        'wire_id',
     )
 
 
-    def __init__(self, incarnation=None, front=None, ticket=None, action=None, body=None, budget_ms=None,):
+    def __init__(self, incarnation=None, front=None, ticket=None, action=None, body=None, budget_ms=None, service_name=None, wire_id=None,):
         self.incarnation = incarnation
         self.front = front
         self.ticket = ticket
         self.action = action
         self.body = body
         self.budget_ms = budget_ms
+        self.service_name = service_name
+        self.wire_id = wire_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -742,6 +748,16 @@
                     self.budget_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.wire_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -776,6 +792,14 @@
             oprot.writeFieldBegin('budget_ms', TType.DOUBLE, 6)
             oprot.writeDouble(self.budget_ms)
             oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 7)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.wire_id is not None:
+            oprot.writeFieldBegin('wire_id', TType.STRING, 8)
+            oprot.writeString(self.wire_id.encode('utf-8') if sys.version_info[0] == 2 else self.wire_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1116,6 +1140,8 @@
     (4, TType.STRING, 'action', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
     (6, TType.DOUBLE, 'budget_ms', None, None, ),  # 6
+    (7, TType.STRING, 'service_name', 'UTF8', None, ),  # 7
+    (8, TType.STRING, 'wire_id', 'UTF8', None, ),  # 8
 )
 all_structs.append(RunOutcome)
 RunOutcome.thrift_spec = (
