Fetch a note from a peer although the platform's copy was refused

Cause: an instance that holds the loser of two notes with one number refuses the platform's next note, because it follows the other one. It then skipped the same digest in gossip for 30 s, so it stayed one note behind. The new state machine found it. Ruled out: no memory of refusals at all, because each gossip message would then fetch a note of up to 1 MB that is refused again. Change: a refusal for a wrong previous note does not hold back a fetch from a peer. A state machine runs four reducers over a network that loses, delays, doubles and reorders messages, with one-way and two-way cuts, restarts, pauses, a platform that goes back, and racing operators. Plain tests cover the join rule.

--- a/turmerictiller/refused_notes.py
+++ b/turmerictiller/refused_notes.py
@@ -9,7 +9,7 @@
 from turmerictiller.effects import WriteLog
 from turmerictiller.note_model import to_document
 from turmerictiller.note_state import RefusedNote
-from turmerictiller.notes import parse_note
+from turmerictiller.notes import NoteErrorType, parse_note
 from turmerictiller.util.canonical import digest
 
 if TYPE_CHECKING:
@@ -62,4 +62,7 @@
 def was_refused_lately(state: State, note_digest: str) -> bool:
     """Return whether fetching a note again would soon end in the same refusal."""
     known = state.notes.refused_by_digest.get(note_digest)
-    return known is not None and state.now - known.last_at < REFETCH_AFTER_MS
+    if known is None or known.errors[0].type is NoteErrorType.WRONG_PREVIOUS:
+        # What the platform's note lacked, a peer that has the note in force makes up for.
+        return False
+    return state.now - known.last_at < REFETCH_AFTER_MS
