--- a/turmerictiller/gossip_content.py
+++ b/turmerictiller/gossip_content.py
@@ -11,6 +11,7 @@
     PeerStatus,
     QuarantineEntry,
 )
+from turmerictiller.quarantine import own_quarantines
 
 if TYPE_CHECKING:
     from turmerictiller.state import ServerState, State
@@ -19,7 +20,8 @@
 MESSAGE_OVERHEAD_BYTES = 164  # frame, digest and the fields around the lists
 MEMBER_OVERHEAD_BYTES = 47
 DRAINING_OVERHEAD_BYTES = 15
-QUARANTINE_OVERHEAD_BYTES = 38
+QUARANTINE_OVERHEAD_BYTES = 45
+MAX_QUARANTINE_SERVERS = 4
 LIST_SHARE = 0.4  # of the room that is left, for each list before the members
 
 
@@ -107,16 +109,19 @@
 
 
 def _quarantine(state: State, room: float) -> tuple[tuple[QuarantineEntry, ...], float]:
-    known = list(state.peers.quarantine_by_fingerprint.values())
+    known = own_quarantines(state)
     chosen: list[QuarantineEntry] = []
     used = 0.0
     for item in state.rng.sample(known, len(known)):
         size = QUARANTINE_OVERHEAD_BYTES + len(item.fingerprint)
-        size += sum(4 + len(server) for server in item.servers)
+        servers = tuple(sorted(item.server_ids))[:MAX_QUARANTINE_SERVERS]
+        size += sum(4 + len(server) for server in servers)
         if used + size > room:
             break
-        remaining_ms = max(0.0, item.until - state.now)
-        chosen.append(QuarantineEntry(item.fingerprint, item.blame, item.servers, remaining_ms))
+        remaining_ms = item.until - state.now
+        chosen.append(
+            QuarantineEntry(item.fingerprint, item.blame, servers, remaining_ms, item.tests_failed)
+        )
         used += size
     return tuple(chosen), used
 
--- a/turmerictiller/gossip_frames.py
+++ b/turmerictiller/gossip_frames.py
@@ -32,6 +32,7 @@
                 blame=entry.blame,
                 servers=list(entry.servers),
                 remaining_ms=entry.remaining_ms,
+                tests_failed=entry.tests_failed,
             )
             for entry in message.quarantine
         ],
@@ -97,4 +98,5 @@
         blame=finite(wire.blame, "blame"),
         servers=tuple(text(item, "servers") for item in items(wire.servers, "servers")),
         remaining_ms=finite(wire.remaining_ms, "remaining_ms"),
+        tests_failed=integer(wire.tests_failed, "tests_failed"),
     )
--- a/turmerictiller/gossip_model.py
+++ b/turmerictiller/gossip_model.py
@@ -44,12 +44,14 @@
 
     :param servers: ids of the servers that were lost while it ran.
     :param remaining_ms: time until one call may test it again.
+    :param tests_failed: tests after which a server was lost again.
     """
 
     fingerprint: str
     blame: float
     servers: tuple[str, ...]
     remaining_ms: float
+    tests_failed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/turmerictiller/join_rule.py
+++ b/turmerictiller/join_rule.py
@@ -59,8 +59,8 @@
         join.next_ask += 1
 
 
-def restart(state: State) -> None:
-    """Forget all asks and answers."""
+def finish(state: State) -> None:
+    """Forget all asks and answers once an instance has joined."""
     join = state.notes.join
     join.asks.clear()
     join.first_asked_at.clear()
@@ -131,7 +131,7 @@
 
 
 def _fresh_answers(state: State, contacts: list[str]) -> dict[str, JoinAnswer]:
-    oldest = state.now - window_ms(state, len(contacts))
+    oldest = max(state.resumed_at, state.now - window_ms(state, len(contacts)))
     answers = state.notes.join.answers_by_address
     return {
         address: answers[address]
@@ -145,7 +145,8 @@
     if len(first_asked_at) < min(len(contacts), state.settings.join_contacts):
         return False
     return all(
-        address in answers or state.now - asked_at >= state.settings.join_wait_ms
+        address in answers
+        or state.now - max(asked_at, state.resumed_at) >= state.settings.join_wait_ms
         for address, asked_at in first_asked_at.items()
     )
 
--- a/turmerictiller/notes_in_force.py
+++ b/turmerictiller/notes_in_force.py
@@ -100,7 +100,7 @@
     candidate = state.notes.join.candidate
     state.notes.join.phase = JoinPhase.JOINED
     state.notes.join.candidate = state.notes.join.fetched = None
-    join_rule.restart(state)
+    join_rule.finish(state)
     _install(state, note)
     if candidate is not None:
         _consider(state, PLATFORM, candidate.document)
--- a/turmerictiller/peer_membership.py
+++ b/turmerictiller/peer_membership.py
@@ -225,7 +225,7 @@
 
 def _silent_since(state: State, last: Millis) -> Millis:
     started = state.peers.listening_since
-    return max(last, state.now if started is None else started)
+    return max(last, state.resumed_at, state.now if started is None else started)
 
 
 def _forget_after_ms(state: State) -> float:
--- a/turmerictiller/peer_state.py
+++ b/turmerictiller/peer_state.py
@@ -1,4 +1,4 @@
-"""State about other entry instances and about what gossip carries."""
+"""State about other entry instances."""
 
 from __future__ import annotations
 
@@ -41,25 +41,12 @@
     heartbeats: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class QuarantinedRequest:
-    """A request that no instance may send to upstreams for a while.
-
-    :param servers: ids of the servers that were lost while it ran.
-    """
-
-    fingerprint: str
-    blame: float
-    servers: tuple[str, ...]
-    until: Millis
-
-
 @dataclass(slots=True)
 class PeersState:
     """Membership as this instance sees it.
 
     :param heartbeat: own gossip rounds since the start.
-    :param listening_since: start of the process or the end of its last pause.
+    :param listening_since: time of the first gossip round.
     :param listed_addresses: addresses of all other entry instances in the last list.
     :param silent_seed_addresses: peers of the settings that no longer count as live.
     :param live_count: entry instances believed live, this one included.
@@ -71,6 +58,4 @@
     silent_seed_addresses: set[str] = field(default_factory=set)
     heartbeat: int = 0
     listening_since: Millis | None = None
-    next_round_at: Millis | None = None
     live_count: int = 1
-    quarantine_by_fingerprint: dict[str, QuarantinedRequest] = field(default_factory=dict)
--- a/turmerictiller/peers.thrift
+++ b/turmerictiller/peers.thrift
@@ -33,6 +33,7 @@
   2: double blame,
   3: list<string> servers,
   4: double remaining_ms,
+  5: i32 tests_failed,
 }
 
 /** Note number 0 means that no note is in force. */
--- a/turmerictiller/state_dump.py
+++ b/turmerictiller/state_dump.py
@@ -11,7 +11,8 @@
 
 if TYPE_CHECKING:
     from turmerictiller.note_state import RefusedNote
-    from turmerictiller.peer_state import Peer, QuarantinedRequest
+    from turmerictiller.peer_state import Peer
+    from turmerictiller.quarantine import Suspect
     from turmerictiller.state import ServerState, State
 
 
@@ -30,9 +31,7 @@
         "refused_notes": [_refused(state, note) for note in state.notes.refused_by_digest.values()],
         "conflicting_notes": sorted(state.notes.conflicting_digests),
         "peers": [_peer(state, peer) for peer in state.peers.by_id.values()],
-        "quarantine": [
-            _quarantined(state, item) for item in state.peers.quarantine_by_fingerprint.values()
-        ],
+        "suspects": [_quarantined(state, item) for item in state.suspects_by_fingerprint.values()],
         "searches_in_flight": len(state.searches_by_id),
         "attempts_in_flight": len(state.attempts_by_id),
         "timers": len(state.timers),
@@ -103,12 +102,14 @@
     }
 
 
-def _quarantined(state: State, item: QuarantinedRequest) -> dict[str, Any]:
+def _quarantined(state: State, item: Suspect) -> dict[str, Any]:
+    remaining_ms = max(0.0, item.until - state.now)
     return {
         "fingerprint": item.fingerprint,
-        "blame": item.blame,
-        "servers": list(item.servers),
-        "remaining_ms": round(item.until - state.now),
+        "blame": round(item.blame, 2),
+        "servers": sorted(item.server_ids),
+        "remaining_ms": round(remaining_ms),
+        "from_peer": item.is_foreign,
     }
 
 
--- a/turmerictiller/wire/peers/ttypes.py
+++ b/turmerictiller/wire/peers/ttypes.py
@@ -252,6 +252,7 @@
      - blame
      - servers
      - remaining_ms
+     - tests_failed
 
     """
 
@@ -260,14 +261,16 @@
         'blame',
         'servers',
         'remaining_ms',
+        'tests_failed',
     )
 
 
-    def __init__(self, fingerprint=None, blame=None, servers=None, remaining_ms=None,):
+    def __init__(self, fingerprint=None, blame=None, servers=None, remaining_ms=None, tests_failed=None,):
         self.fingerprint = fingerprint
         self.blame = blame
         self.servers = servers
         self.remaining_ms = remaining_ms
+        self.tests_failed = tests_failed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -303,6 +306,11 @@
                     self.remaining_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.tests_failed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -332,6 +340,10 @@
             oprot.writeFieldBegin('remaining_ms', TType.DOUBLE, 4)
             oprot.writeDouble(self.remaining_ms)
             oprot.writeFieldEnd()
+        if self.tests_failed is not None:
+            oprot.writeFieldBegin('tests_failed', TType.I32, 5)
+            oprot.writeI32(self.tests_failed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1109,6 +1121,7 @@
     (2, TType.DOUBLE, 'blame', None, None, ),  # 2
     (3, TType.LIST, 'servers', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.DOUBLE, 'remaining_ms', None, None, ),  # 4
+    (5, TType.I32, 'tests_failed', None, None, ),  # 5
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
