--- a/tests/test_peer_membership.py
+++ b/tests/test_peer_membership.py
@@ -156,3 +156,18 @@
     for effect in sent:
         message = effect.message
         assert min(map(len, (message.draining, message.quarantine, message.members))) >= 2
+
+
+def test_peers_are_told_of_a_shutdown_and_of_its_end() -> None:
+    """Guards against peers that keep counting an instance that has left in order."""
+    harness = Harness(peers="10.0.0.1:1")
+    other = Harness(instance_id="p1", peer_address="10.0.0.1:1")
+    harness.advance(0)
+    harness.take(effects.SendGossip)
+    harness.send(events.ShutdownRequested(harness.at))
+    harness.advance(harness.settings.shutdown_limit_ms + 1_000)
+    sent = [effect.message for effect in harness.take(effects.SendGossip)]
+    for status, count in ((PeerStatus.DRAINING, 2), (PeerStatus.GONE, 1)):
+        message = next(message for message in sent if message.sender.status is status)
+        other.send(events.GossipReceived(0.0, message))
+        assert live_instances(other.state) == count
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -50,7 +50,18 @@
     max_caller_connections: int = Field(1_024, description="Connections of callers.", ge=1)
     max_peer_connections: int = Field(1_024, description="Connections of peers.", ge=1)
     max_trace_events: int = Field(5_000, description="Recent events kept for replay.", ge=0)
-    read_timeout_ms: float = Field(5_000, description="Time to read one call.", gt=0)
+    max_trace_bytes: int = Field(8_388_608, description="Size of these events.", ge=0)
+    max_equal_logs: int = Field(10, description="Equal log lines in ten seconds.", ge=1)
+    max_logs: int = Field(200, description="Log lines in ten seconds.", ge=1)
+    max_histograms: int = Field(256, description="Fronts and services with histograms.", ge=2)
+    read_timeout_ms: float = Field(
+        5_000,
+        description="Time for a caller to send headers, to send a body or to take an answer.",
+        gt=0,
+    )
+    caller_idle_ms: float = Field(
+        75_000, description="Idle time after which a caller's connection is closed.", gt=0
+    )
 
     ticket_lifetime_ms: float = Field(600_000, description="Life of a ticket.", gt=0)
     run_deadline_ms: float = Field(2_000, description="Default deadline of a run request.", gt=0)
@@ -124,13 +135,26 @@
 
     @model_validator(mode="after")
     def _check_together(self) -> Settings:
-        longest = self.drain_notice_ms + self.max_deadline_ms
-        if self.shutdown_limit_ms <= longest:
-            raise ValueError(
-                "shutdown_limit_ms must be longer than drain_notice_ms plus max_deadline_ms"
-            )
+        problems = [*self._shutdown_problems(), *self._listener_problems()]
+        if problems:
+            raise ValueError("; ".join(problems))
         return self
 
+    def _shutdown_problems(self) -> list[str]:
+        if self.shutdown_limit_ms > self.drain_notice_ms + self.max_deadline_ms:
+            return []
+        return ["shutdown_limit_ms must be longer than drain_notice_ms plus max_deadline_ms"]
+
+    def _listener_problems(self) -> list[str]:
+        name_by_address: dict[str, str] = {}
+        problems = []
+        for name in ("caller_address", "peer_address", "operator_address"):
+            address = getattr(self, name)
+            other = name_by_address.setdefault(address, name)
+            if other != name and not address.endswith(":0"):
+                problems.append(f"{name} must not be the same as {other}")
+        return problems
+
     def with_identity(self) -> Settings:
         """Return the settings with incarnation and seed drawn where they were left out."""
         return self.model_copy(
@@ -149,8 +173,30 @@
     try:
         return Settings(**values)
     except ValidationError as error:
-        problems = [
-            f"{'.'.join(str(part) for part in item['loc']) or 'settings'}: {item['msg']}"
-            for item in error.errors()
-        ]
-        raise ConfigError(problems) from None
+        raise ConfigError(_problems(values, error)) from None
+
+
+def _problems(values: dict[str, Any], error: ValidationError) -> list[str]:
+    """Return one line per mistake.
+
+    Checks of several settings together run only when each passes its own. So they are run again
+    with the wrong values left out, and count if they name none of these.
+    """
+    problems = _lines(error)
+    wrong = {str(item["loc"][0]) for item in error.errors() if item["loc"]}
+    if not wrong:
+        return problems
+    required = {name for name, field in Settings.model_fields.items() if field.is_required()}
+    kept = {name: value for name, value in values.items() if name not in wrong}
+    try:
+        Settings(**dict.fromkeys(required, "x") | kept)
+    except ValidationError as again:
+        problems += [line for line in _lines(again) if not any(name in line for name in wrong)]
+    return problems
+
+
+def _lines(error: ValidationError) -> list[str]:
+    return [
+        f"{'.'.join(str(part) for part in item['loc']) or 'settings'}: {item['msg']}"
+        for item in error.errors()
+    ]
--- a/turmerictiller/events.py
+++ b/turmerictiller/events.py
@@ -277,6 +277,13 @@
     at: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class CallersLeft:
+    """The callers' listener is closed and no caller is connected any more."""
+
+    at: Millis
+
+
 Event = (
     Tick
     | SearchArrived
@@ -298,4 +305,5 @@
     | HealthFailed
     | ShardMapSeen
     | ShutdownRequested
+    | CallersLeft
 )
--- a/turmerictiller/gossip_content.py
+++ b/turmerictiller/gossip_content.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from turmerictiller.effects import SendGossip
 from turmerictiller.gossip_model import (
     DrainingServer,
     GossipMessage,
@@ -11,7 +12,9 @@
     PeerStatus,
     QuarantineEntry,
 )
+from turmerictiller.peer_membership import gossip_targets
 from turmerictiller.quarantine import own_quarantines
+from turmerictiller.state import ProcessPhase
 
 if TYPE_CHECKING:
     from turmerictiller.state import ServerState, State
@@ -40,6 +43,11 @@
 
 def own_status(state: State) -> PeerStatus:
     """Return where this instance is in its life."""
+    phase = state.lifecycle.phase
+    if phase is ProcessPhase.STOPPED:
+        return PeerStatus.GONE
+    if phase in (ProcessPhase.DRAINING, ProcessPhase.CLOSING):
+        return PeerStatus.DRAINING
     return PeerStatus.STARTING if state.note is None else PeerStatus.READY
 
 
@@ -58,6 +66,13 @@
     )
 
 
+def farewell(state: State) -> list[SendGossip]:
+    """Return the messages that tell random peers that this instance ends."""
+    state.peers.heartbeat += 1
+    message = short_message(state)
+    return [SendGossip(address, message) for address in gossip_targets(state)]
+
+
 def full_message(state: State) -> GossipMessage:
     """Return a message with samples of all that gossip spreads."""
     base = short_message(state)
--- a/turmerictiller/peers.py
+++ b/turmerictiller/peers.py
@@ -18,6 +18,7 @@
     from turmerictiller.config import Settings
     from turmerictiller.effects import FetchNote, ForwardRun, SendGossip
 
+FAREWELL_S = 0.1
 OWNER_FAILURES = frozenset({"not_owner", "too_many_requests"})
 
 
@@ -43,7 +44,9 @@
         await self.server.start()
 
     async def close(self) -> None:
-        """Close everything; nothing is reported any more."""
+        """Close everything, after messages to open connections had a moment to leave."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=FAREWELL_S)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/turmerictiller/state_dump.py
+++ b/turmerictiller/state_dump.py
@@ -4,113 +4,64 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.gossip_model import PeerStatus
-from turmerictiller.limits import live_instances, outstanding_limit
-from turmerictiller.peer_membership import contact_addresses, is_heard
-from turmerictiller.peer_state import NEVER
+from turmerictiller.dump_peers import dump_peers
+from turmerictiller.dump_searches import dump_searches
+from turmerictiller.dump_servers import dump_servers
+from turmerictiller.join_rule import is_joined
+from turmerictiller.lifecycle import is_leaving
+from turmerictiller.limits import live_instances
 
 if TYPE_CHECKING:
-    from turmerictiller.note_state import RefusedNote
-    from turmerictiller.peer_state import Peer
-    from turmerictiller.quarantine import Suspect
-    from turmerictiller.state import ServerState, State
+    from turmerictiller.state import State
+
+REFUSALS = "refusals."
 
 
 def dump_state(state: State) -> dict[str, Any]:
-    """Return what this process knows and does."""
-    note = state.note
+    """Return what this process knows and does; times in milliseconds."""
     return {
         "instance": state.settings.instance_id,
         "incarnation": state.settings.incarnation,
         "failure_domain": state.settings.failure_domain,
         "now_ms": round(state.now, 1),
-        "note": {"number": note.number, "digest": note.digest} if note else None,
+        "phase": state.lifecycle.phase.value,
+        "health": health(state),
+        "note": _note(state),
         "snapshots": sorted(state.shard_maps_by_snapshot),
         "live_instances": live_instances(state),
-        "join": _join(state),
-        "refused_notes": [_refused(state, note) for note in state.notes.refused_by_digest.values()],
-        "conflicting_notes": sorted(state.notes.conflicting_digests),
-        "peers": [_peer(state, peer) for peer in state.peers.by_id.values()],
-        "suspects": [_quarantined(state, item) for item in state.suspects_by_fingerprint.values()],
         "searches_in_flight": len(state.searches_by_id),
         "attempts_in_flight": len(state.attempts_by_id),
         "timers": len(state.timers),
-        "servers": [_server(state, server) for server in state.servers_by_id.values()],
-        "counters": dict(sorted(state.counters.items())),
-    }
-
-
-def _server(state: State, server: ServerState) -> dict[str, Any]:
-    return {
-        "id": server.id,
-        "address": server.address,
-        "failure_domain": server.domain,
-        "service": server.service,
-        "reachable": server.reachable,
-        "draining": server.draining,
-        "snapshots": list(server.snapshots),
-        "fast_ms": round(server.fast_ms, 2),
-        "slow_ms": round(server.slow_ms, 2),
-        "samples": server.samples,
-        "outstanding": len(server.attempt_ids),
-        "limit": outstanding_limit(state, server),
-    }
-
-
-def _join(state: State) -> dict[str, Any]:
-    join = state.notes.join
-    return {
-        "phase": join.phase.value,
-        "candidate": join.candidate.number if join.candidate else None,
-        "contacts": len(contact_addresses(state)),
-        "asked": sorted(join.first_asked_at),
-        "answers": {
-            address: {"peer": answer.peer_id, "note": answer.note_number}
-            for address, answer in join.answers_by_address.items()
+        **dump_peers(state),
+        "oldest_searches": dump_searches(state),
+        "servers": dump_servers(state),
+        "refusals": {
+            name.removeprefix(REFUSALS): count
+            for name, count in sorted(state.counters.items())
+            if name.startswith(REFUSALS)
         },
+        "counters": dict(sorted(state.counters.items())),
     }
 
 
-def _refused(state: State, note: RefusedNote) -> dict[str, Any]:
+def _note(state: State) -> dict[str, Any] | None:
+    note = state.note
+    if note is None:
+        return None
     return {
         "number": note.number,
         "digest": note.digest,
-        "source": note.source,
-        "times": note.times,
-        "last_ms_ago": round(state.now - note.last_at),
-        "errors": [
-            {"type": error.type.value, "place": error.place, "message": error.message}
-            for error in note.errors
-        ],
-    }
-
-
-def _peer(state: State, peer: Peer) -> dict[str, Any]:
-    is_silent = peer.progress_at == NEVER
-    return {
-        "id": peer.id,
-        "incarnation": peer.incarnation,
-        "address": peer.address,
-        "failure_domain": peer.domain,
-        "status": peer.status.name.lower(),
-        "heartbeat": peer.heartbeat,
-        "last_progress_ms_ago": None if is_silent else round(state.now - peer.progress_at),
-        "heard": is_heard(state, peer),
-        "counted": not peer.is_dropped and peer.status is not PeerStatus.GONE,
-        "listed": peer.is_listed,
-        "note": peer.note_number,
+        "fronts": {
+            front.name: sorted(front.services_by_name)
+            for front in note.configuration.fronts_by_name.values()
+        },
     }
 
 
-def _quarantined(state: State, item: Suspect) -> dict[str, Any]:
-    remaining_ms = max(0.0, item.until - state.now)
-    return {
-        "fingerprint": item.fingerprint,
-        "blame": round(item.blame, 2),
-        "servers": sorted(item.server_ids),
-        "remaining_ms": round(remaining_ms),
-        "from_peer": item.is_foreign,
-    }
+def _why_no_note(state: State) -> str:
+    if state.settings.peers and not is_joined(state):
+        return "no release note is in force; waiting for peers or the platform"
+    return "no release note is in force"
 
 
 def health(state: State) -> dict[str, Any]:
@@ -118,7 +69,10 @@
     has_server = any(
         server.reachable and server.snapshots for server in state.servers_by_id.values()
     )
-    reason = "" if state.note else "no release note is in force"
+    reason = "" if state.note else _why_no_note(state)
     if not reason and not has_server:
         reason = "no upstream has reported a snapshot"
-    return {"alive": True, "ready": not reason, "reason": reason}
+    if is_leaving(state):
+        reason = "the instance is shutting down"
+    phase = state.lifecycle.phase.value
+    return {"alive": True, "ready": not reason, "reason": reason, "phase": phase}
