--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -25,6 +25,7 @@
 from turmerictiller.logs import part_logger
 from turmerictiller.metrics import Metrics, observe_before, observe_effects
 from turmerictiller.operators import OperatorViews, operator_application
+from turmerictiller.peers import Peers
 from turmerictiller.platform_client import PlatformClient
 from turmerictiller.reducer import recover
 from turmerictiller.state import new_state
@@ -59,6 +60,7 @@
         )
         self._upstreams: UpstreamClient
         self._platform: PlatformClient
+        self._peers: Peers
         self._runners: list[web.AppRunner] = []
         self._wake: asyncio.TimerHandle | None = None
         self._stopped = asyncio.Event()
@@ -98,6 +100,7 @@
         """Serve until the process is told to stop."""
         self._upstreams = UpstreamClient(self.settings, self.clock, self.dispatch)
         self._platform = PlatformClient(self.settings, self.clock, self.dispatch)
+        self._peers = Peers(self.settings, self.clock, self.dispatch, self._note_document)
         self._run_by_effect = self._effect_table()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -105,6 +108,7 @@
         await self.callers.listener.open(self.callers.application())
         operators = operator_application(self._operator_views())
         await self._listen(operators, self.settings.operator_address)
+        await self._peers.start()
         self.dispatch(Tick(self.clock.now_ms()))
         self._platform.start()
         log("Started.", caller_address=self.settings.caller_address)
@@ -136,12 +140,19 @@
             effects.ReplyRefusal: self.callers.reply,
             effects.ReplyTicket: self.callers.reply,
             effects.ReplyOutcome: self.callers.reply,
+            effects.SendGossip: self._peers.send_gossip,
+            effects.FetchNote: self._peers.fetch_note,
+            effects.ForwardRun: self._peers.forward_run,
+            effects.AnswerForward: self._peers.server.answer_forward,
             effects.WakeAt: self._set_wake,
             effects.WriteLog: self._write_log,
             effects.CloseListeners: self._close_listeners,
             effects.Stop: lambda effect: self._stopped.set(),
         }
 
+    def _note_document(self) -> dict[str, Any] | None:
+        return self.state.note.document if self.state.note else None
+
     def _close_listeners(self, effect: effects.CloseListeners) -> None:
         self.callers.listener.close_listening()
         self._closing = asyncio.get_running_loop().create_task(self._wait_for_callers())
@@ -189,6 +200,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._platform.close()
+        await self._peers.close()
         await self._upstreams.close()
         if self._wake is not None:
             self._wake.cancel()
--- a/turmerictiller/lifecycle.py
+++ b/turmerictiller/lifecycle.py
@@ -9,6 +9,7 @@
 from turmerictiller.effects import CloseListeners, ReplyRefusal, Stop, WriteLog
 from turmerictiller.errors import Ran, Refusal, RefusalType
 from turmerictiller.events import RunArrived, SearchArrived, TicketRequested
+from turmerictiller.gossip_content import farewell
 from turmerictiller.state import ProcessPhase, TimerKind
 
 if TYPE_CHECKING:
@@ -160,6 +161,7 @@
     if not state.lifecycle.listeners_closed:
         state.lifecycle.listeners_closed = True
         state.out.append(CloseListeners())
+    state.out += farewell(state)
     state.out.append(Stop())
 
 
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -6,6 +6,7 @@
 
 from turmerictiller import (
     events,
+    gossip,
     housekeeping,
     lifecycle,
     membership,
@@ -68,6 +69,9 @@
     events.ForwardAnswered: ticket_forwards.on_forward_answered,
     events.ForwardFailed: ticket_forwards.on_forward_failed,
     events.NoteSeen: notes_in_force.on_note_seen,
+    events.InstanceListSeen: membership.on_instance_list_seen,
+    events.GossipReceived: gossip.on_gossip_received,
+    events.PeerFailed: gossip.on_peer_failed,
     events.HealthReported: membership.on_health_reported,
     events.HealthFailed: membership.on_health_failed,
     events.ShardMapSeen: snapshot.on_shard_map_seen,
@@ -78,6 +82,7 @@
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
     TimerKind.RUN_DEADLINE: tickets.on_deadline,
+    TimerKind.GOSSIP: gossip.on_gossip_round,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
     TimerKind.SHUTDOWN: lifecycle.on_shutdown_timer,
     TimerKind.HOUSEKEEPING: housekeeping.on_housekeeping,
--- a/turmerictiller/state_dump.py
+++ b/turmerictiller/state_dump.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING, Any
 
+from turmerictiller.dump_peers import dump_peers
 from turmerictiller.dump_searches import dump_searches
 from turmerictiller.dump_servers import dump_servers
+from turmerictiller.join_rule import is_joined
 from turmerictiller.lifecycle import is_leaving
 from turmerictiller.limits import live_instances
 
@@ -37,6 +39,7 @@
         },
         "attempts_in_flight": len(state.attempts_by_id),
         "timers": len(state.timers),
+        **dump_peers(state),
         "oldest_searches": dump_searches(state),
         "servers": dump_servers(state),
         "refusals": {
@@ -62,12 +65,18 @@
     }
 
 
+def _why_no_note(state: State) -> str:
+    if state.settings.peers and not is_joined(state):
+        return "no release note is in force; waiting for peers or the platform"
+    return "no release note is in force"
+
+
 def health(state: State) -> dict[str, Any]:
     """Return what the balancer asks: is the process alive, and ready for callers."""
     has_server = any(
         server.reachable and server.snapshots for server in state.servers_by_id.values()
     )
-    reason = "" if state.note else "no release note is in force"
+    reason = "" if state.note else _why_no_note(state)
     if not reason and not has_server:
         reason = "no upstream has reported a snapshot"
     if is_leaving(state):
