Measure load on real processes over loopback

Cause: there was no figure for callers' latency, processor time and memory of real processes under open-loop load, nor for the control cost of an idle instance. Ruled out: an aiohttp client in the generator, whose own cost is of the size of what is measured; latency from the time of sending, which hides searches that a stalled generator or instance holds up. Change: bench.load starts the platform, upstream groups, entry instances and a generator as processes. The generator spreads a Poisson schedule over the instances that /health calls ready. Mutants killed by tests/test_load.py: latency from sending, a balancer that ignores /health, refusals counted as answers, an unbounded schedule, answers taken before their last byte, a name with brackets in /proc/PID/stat.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import socket
 import subprocess
@@ -22,12 +23,27 @@
     log_folder: Path
     by_name: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
-    def start(self, name: str, module: str, *arguments: str) -> None:
-        """Start ``python -m module``."""
+    def start(
+        self,
+        name: str,
+        module: str,
+        *arguments: str,
+        folder: Path | None = None,
+        environment: dict[str, str] | None = None,
+    ) -> None:
+        """Start ``python -m module``.
+
+        :param folder: where the module is looked up; this checkout if not given.
+        :param environment: variables in addition to those of this process.
+        """
         self.log_folder.mkdir(parents=True, exist_ok=True)
         with (self.log_folder / f"{name}.log").open("wb") as log:
             self.by_name[name] = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments], stdin=subprocess.DEVNULL, stderr=log
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stderr=log,
+                cwd=folder,
+                env={**os.environ, **(environment or {})},
             )
 
     def kill(self, name: str) -> None:
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,87 @@
+"""Tests of what the figures of the load tool rest on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import orjson
+import pytest
+
+from bench import load_caller, load_http
+from bench.load_caller import Plan, Result, generate, note_answer, schedule, summary
+from bench.load_http import split_answer
+from bench.load_usage import parse_stat
+
+BLOCKED_S = 0.02
+FULL = {"coverage": {"merged": 40, "total": 40}}
+HALF = {"coverage": {"merged": 20, "total": 40}}
+
+
+def test_latency_counts_from_the_scheduled_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against coordinated omission: late searches whose waiting time is not counted."""
+
+    async def slow_call(target: load_http.Target, raw: bytes) -> tuple[int, bytes]:
+        if b"/health" not in raw:
+            time.sleep(BLOCKED_S)  # holds up the whole generator
+        return 200, orjson.dumps(FULL)
+
+    monkeypatch.setattr(load_http.Target, "call", slow_call)
+    plan = Plan(["127.0.0.1:1"], "booking", 200.0, 0.1, 1, 100.0, "")
+    result = asyncio.run(generate(plan))
+    count = len(schedule(plan.rate, plan.seconds, plan.seed))
+    assert result.counts["answered"] == count > 10
+    assert result.latency.get_max_value() >= (count * BLOCKED_S - plan.seconds) * 1e6
+
+
+def test_no_search_is_sent_to_an_instance_that_is_not_ready(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a balancer that ignores /health, and against searches that go uncounted."""
+
+    async def not_ready(target: load_http.Target, raw: bytes) -> tuple[int, bytes]:
+        assert b"/health" in raw
+        return 503, b"{}"
+
+    monkeypatch.setattr(load_http.Target, "call", not_ready)
+    result = asyncio.run(generate(Plan(["127.0.0.1:1"], "booking", 200.0, 0.1, 1, 100.0, "")))
+    assert result.counts["not_sent"] == result.counts["scheduled"] > 10
+
+
+def test_schedule_is_open_loop_bounded_and_repeatable(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against arrivals at another rate, without bound or different for equal seeds."""
+    times = schedule(100.0, 20.0, 7)
+    assert times == schedule(100.0, 20.0, 7) != schedule(100.0, 20.0, 8)
+    assert times == sorted(times)
+    assert times[-1] < 20.0
+    assert 1_800 < len(times) < 2_200
+    monkeypatch.setattr(load_caller, "MAX_SEARCHES", 50)
+    assert schedule(100.0, 20.0, 7) == times[:50]
+
+
+def test_refusals_and_partial_answers_are_told_apart() -> None:
+    """Guards against refusals that count as fast answers, and against overstated coverage."""
+    result = Result()
+    note_answer(result, 0.5, 200, orjson.dumps(FULL))
+    note_answer(result, 0.5, 200, orjson.dumps(HALF))
+    note_answer(result, 0.001, 503, b'{"error": "overloaded"}')
+    done = summary(result, 1.0, 2.0)
+    assert done["counts"] == {"answered": 2, "partial": 1, "refused.overloaded": 1}
+    assert done["latency_ms"]["p50"] == pytest.approx(500, rel=0.01)
+    assert (done["coverage_mean"], done["coverage_min"]) == (0.75, 0.5)
+
+
+def test_answers_that_arrive_in_pieces_are_read_whole() -> None:
+    """Guards against answers that are taken before their last byte, or on a closing connection."""
+    raw = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\n{"a"'
+    assert all(split_answer(raw[:end]) is None for end in range(len(raw)))
+    assert split_answer(raw) == (200, b'{"a"', False)
+    assert split_answer(raw.replace(b"close", b"keep-alive")) == (200, b'{"a"', True)
+
+
+def test_usage_is_read_past_an_odd_process_name() -> None:
+    """Guards against fields that shift when the name holds spaces and brackets."""
+    fields = ["S", *map(str, range(4, 53))]  # field n of proc(5) holds n
+    usage = parse_stat(f"12 (a) b (c) {' '.join(fields)}")
+    assert usage.cpu_s * 100 == pytest.approx(14 + 15)
+    assert usage.resident_bytes == 24 * 4096
