Close everything when a listener cannot open

Cause: an entry instance on a taken port printed "Unclosed client session" after its message. Ruled out: opening sessions after the listeners; the first tick and peers need them at once. Change: the start closes what it has opened before it reports the address; a runner is known before its site starts. Mutants killed by tests/test_cmd.py: no closing, a runner that is known only after its start.

--- a/tests/test_cmd.py
+++ b/tests/test_cmd.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+import subprocess
+import sys
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -10,6 +12,7 @@
 from unittest.mock import patch
 
 import orjson
+import pytest
 from typer.testing import CliRunner
 
 from tests.reducing import definitions, first_note
@@ -134,6 +137,19 @@
         assert "--peer-address must not be the same as --caller-address" in done.stderr
 
 
+@pytest.mark.parametrize("setting", ["caller", "operator", "peer"])
+def test_address_in_use_leaves_nothing_open(setting: str) -> None:
+    """Guards against warnings of unclosed sessions and sockets around the message."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        addresses = dict.fromkeys(["caller", "operator", "peer"], "127.0.0.1:0")
+        addresses[setting] = f"127.0.0.1:{taken.getsockname()[1]}"
+        flags = [f"--{name}-address={address}" for name, address in addresses.items()]
+        command = [sys.executable, "-X", "dev", "-m", "turmerictiller", "entry", *flags]
+        command += ["--instance-id=e1", "--failure-domain=plateau"]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert (done.returncode, len(done.stderr.splitlines())) == (1, 1)
+
+
 def test_state_and_trace_read_a_process(tmp_path: Path) -> None:
     """Guards against commands that take an error page for an answer."""
 
--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -105,10 +105,11 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.shut_down)
-        await self.callers.listener.open(self.callers.application())
-        operators = operator_application(self._operator_views())
-        await self._listen(operators, self.settings.operator_address)
-        await self._peers.start()
+        try:
+            await self._open_listeners()
+        except OSError:
+            await self._close()
+            raise
         self.dispatch(Tick(self.clock.now_ms()))
         self._platform.start()
         log("Started.", caller_address=self.settings.caller_address)
@@ -116,6 +117,12 @@
         await self._stopped.wait()
         await self._close()
 
+    async def _open_listeners(self) -> None:
+        await self.callers.listener.open(self.callers.application())
+        operators = operator_application(self._operator_views())
+        await self._listen(operators, self.settings.operator_address)
+        await self._peers.start()
+
     def shut_down(self) -> None:
         """Begin a graceful shutdown; a second call changes nothing."""
         self.dispatch(ShutdownRequested(self.clock.now_ms()))
@@ -186,9 +193,9 @@
     async def _listen(self, app: web.Application, address: str) -> None:
         host, _, port = address.rpartition(":")
         runner = web.AppRunner(app, access_log=None)
+        self._runners.append(runner)
         await runner.setup()
         await web.TCPSite(runner, host.strip("[]"), int(port)).start()
-        self._runners.append(runner)
 
     async def _close(self) -> None:
         if self._closing is not None:
