Make the opening delay and cold start of the upstream stand-in work

Cause: open_ms and cold_ms of its behaviour were accepted and had no effect. Ruled out: removing them; load runs need the 6 ms that servers of the booking desk take to open a connection. Delaying accept: the kernel opens the connection whatever the process does. Change: the first answer on a connection waits open_ms; work begins cold_ms after the start of the server, and its health is told meanwhile. bench.load opens connections in 6 ms.

--- a/bench/load_fleet.py
+++ b/bench/load_fleet.py
@@ -111,6 +111,7 @@
         "services": services,
         "shards_per_service": SHARDS_PER_SERVICE,
         "service_ms": SERVICE_MS,
+        "open_ms": OPEN_MS,
     }
     return {"id": server["id"], "address": server["address"], "behaviour": behaviour}
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -13,8 +13,10 @@
 import os
 import random
 import secrets
+import time
 from dataclasses import dataclass, field
 from typing import Any
+from weakref import WeakSet
 
 import orjson
 from aiohttp import web
@@ -27,6 +29,8 @@
     """What the stand-in does; times in milliseconds.
 
     :param services: names of all services, of which each has ``shards_per_service`` shards.
+    :param open_ms: delay of the first answer on each connection, as a handshake would cause.
+    :param cold_ms: time from the start of the server until it begins to work; calls wait for it.
     :param crash_query: a query at which the process ends without an answer.
     """
 
@@ -60,6 +64,7 @@
     cancelled: int = 0
 
     def __post_init__(self) -> None:
+        self.started_s = time.monotonic()
         self.slot = asyncio.Semaphore(self.behaviour.slots)
         self.rng = random.Random(self.id)
 
@@ -102,6 +107,7 @@
             self.waiting -= 1
         self.busy += 1
         try:
+            await self._wait_until_warm()
             if loop.time() > expires_at:
                 return "expired"
             mean_ms = self.behaviour.service_ms * self.behaviour.slowdown
@@ -115,6 +121,11 @@
         self.served += 1
         return ""
 
+    async def _wait_until_warm(self) -> None:
+        warm_at = self.started_s + self.behaviour.cold_ms / 1000
+        if (wait_s := warm_at - time.monotonic()) > 0:
+            await asyncio.sleep(wait_s)
+
     def search(self, request: dict[str, Any]) -> dict[str, Any]:
         """Return the hits of a query: the same for the same snapshot and query."""
         version = int(request["snapshot"].partition("-")[0])
@@ -196,7 +207,17 @@
             setattr(behaviour, name, value)
         return _json({"ok": True})
 
-    app = web.Application()
+    opened: WeakSet[Any] = WeakSet()
+
+    @web.middleware
+    async def open_connection(request: web.Request, handler: Any) -> web.StreamResponse:
+        if behaviour.open_ms and request.transport not in opened:
+            opened.add(request.transport)
+            await asyncio.sleep(behaviour.open_ms / 1000)
+        response: web.StreamResponse = await handler(request)
+        return response
+
+    app = web.Application(middlewares=[open_connection])
     app.router.add_post("/search", on_search)
     app.router.add_post("/run", on_run)
     app.router.add_get("/health", on_health)
