Test the bounds of peer connections one by one

Cause: three mutants of the peer connections survived: no bound on forwarded runs, no bound on outstanding requests, and 64 MB of unsent data. Either of the first two bounds hid the other, because the test gave both sides the same bound. Ruled out: a change of the product; the bounds were there. Change: each side's bound on requests has its own test, connections have another, and the test of a peer that does not read also looks at the unsent bytes. Conclusion: each bound of the peer connections is proven by a test that the fault breaks or stalls.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,6 +14,7 @@
 from turmerictiller.clock import Clock
 from turmerictiller.config import load_settings
 from turmerictiller.gossip_model import GossipMessage, Member, PeerStatus
+from turmerictiller.peer_connection import MAX_UNSENT_BYTES
 from turmerictiller.peers import Peers
 
 SENDER = Member("e9", "z9", 1, "127.0.0.1:1", "pikine", PeerStatus.READY)
@@ -47,9 +48,15 @@
         )
 
 
-def _run(test: Callable[[Node, Node], Awaitable[None]], **settings: Any) -> None:
+def _run(
+    test: Callable[[Node, Node], Awaitable[None]],
+    two: dict[str, Any] | None = None,
+    **settings: Any,
+) -> None:
+    second = {**settings, **(two or {})}
+
     async def main() -> None:
-        one, two = Node(**settings), Node(**settings)
+        one, two = Node(**settings), Node(**second)
         await one.peers.start()
         await two.peers.start()
         try:
@@ -130,14 +137,26 @@
     _run(test)
 
 
-def test_bounds_on_requests_and_connections() -> None:
-    """Guards against memory that grows with messages to a peer that does not answer."""
+@pytest.mark.parametrize("bounds", [(1, 9), (9, 1)], ids=["sender", "receiver"])
+def test_outstanding_requests_are_bounded_on_both_sides(bounds: tuple[int, int]) -> None:
+    """Guards against memory that grows with requests that a peer does not answer."""
 
     async def test(one: Node, two: Node) -> None:
         one.forward(two.address, LONG_MS)
         await two.event(events.RunForwarded)
         one.forward(two.address, LONG_MS)
         assert (await one.event(events.ForwardFailed)).reason == "too_many_requests"
+        assert two.seen.empty()
+
+    _run(test, two={"max_peer_requests": bounds[1]}, max_peer_requests=bounds[0])
+
+
+def test_connections_are_bounded_on_both_sides() -> None:
+    """Guards against sockets that grow with the number of peers and of strangers."""
+
+    async def test(one: Node, two: Node) -> None:
+        one.forward(two.address, LONG_MS)
+        await two.event(events.RunForwarded)
         one.forward(one.address, LONG_MS)
         assert (await one.event(events.ForwardFailed)).reason == "too_many_connections"
         _, writer = await asyncio.open_connection(*two.address.split(":"))
@@ -146,7 +165,7 @@
             await asyncio.sleep(0.001)
         writer.close()
 
-    _run(test, max_peer_requests=1, max_peer_connections=1)
+    _run(test, max_peer_connections=1)
 
 
 @pytest.mark.parametrize(
@@ -197,6 +216,9 @@
                 effects.SendGossip(address, GossipMessage(SENDER, members=members))
             )
             await asyncio.sleep(0)
+            writer = one.peers._connections_by_address[address]._writer
+            unsent = writer.transport.get_write_buffer_size() if writer else 0
+            assert unsent < 2 * MAX_UNSENT_BYTES
         assert (await one.event(events.PeerFailed)).reason == "slow"
         stopped.set()
         server.close()
