State two limits of the agreement on notes and model them

All instances refused note 25, because none had read the note 24 that it follows; and an instance that had not joined held a newer note than any in force, so that the fleet ended above the expected number. Ruled out: accepting a note whose predecessor nobody has seen, because that would drop the check against operators' mistakes; the note after it is accepted. The second case is right as it is. Change: when faults end, the platform shows its last two notes in turn, and without the platform the number agreed on lies between the newest in force and the newest that a joining instance holds. All instances must still agree on one number.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -54,6 +54,11 @@
         node = self.nodes[index]
         return node.state.note.number if node and node.state.note else 0
 
+    def candidates(self) -> list[int]:
+        """Return the numbers of the platform's notes that joining instances hold."""
+        held = [node.state.notes.join.candidate for node in self.nodes if node]
+        return [note.number for note in held if note]
+
     def start(self, index: int) -> None:
         """Start an instance, or restart it under the same address."""
         self.stop(index)
