--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -39,7 +39,7 @@
         return new
 
     def text(self) -> str:
-        return "".join(exposition(self.state, self.metrics, Trace(self.settings)))
+        return "".join(exposition(self.state, self.metrics, Trace(self.settings), {"faults": 1}))
 
 
 def test_times_are_recorded_per_front_and_service() -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -26,7 +26,7 @@
         state=lambda: dump_state(harness.state),
         health=lambda: health(harness.state),
         trace=lambda: dump_trace(trace),
-        metrics=lambda: exposition(harness.state, Metrics(harness.settings), trace),
+        metrics=lambda: exposition(harness.state, Metrics(harness.settings), trace, {}),
     )
 
     async def ask() -> tuple[int, bytes]:
--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -166,7 +166,7 @@
             state=self._dump,
             health=lambda: health(self.state),
             trace=lambda: dump_trace(self.trace),
-            metrics=lambda: exposition(self.state, self.metrics, self.trace),
+            metrics=lambda: exposition(self.state, self.metrics, self.trace, self.callers.counters),
         )
 
     def _set_wake(self, effect: effects.WakeAt) -> None:
--- a/turmerictiller/callers.py
+++ b/turmerictiller/callers.py
@@ -150,6 +150,7 @@
             action=body.action,
             body=body.body,
             deadline_ms=body.deadline_ms,
+            service=body.service,
         )
         return await self._call(request, event)
 
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -11,6 +11,7 @@
 
 from turmerictiller.note_state import NotesState
 from turmerictiller.peer_state import PeersState
+from turmerictiller.ticket_table import TicketTable
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
@@ -88,7 +89,7 @@
 class Attempt:
     """One call to one server, search or run.
 
-    :param call_id: the search or run that it belongs to.
+    :param call_id: the search that it belongs to; for a run, the sequence number of its ticket.
     """
 
     id: int
@@ -204,6 +205,7 @@
     services_by_name: dict[str, ServiceState] = field(default_factory=dict)
     shard_maps_by_snapshot: dict[str, dict[str, tuple[str, ...]]] = field(default_factory=dict)
     maps_requested_at: dict[str, Millis] = field(default_factory=dict)
+    tickets: TicketTable = field(default_factory=TicketTable)
     timers: Timers = field(default_factory=Timers)
     suspects_by_fingerprint: dict[str, Suspect] = field(default_factory=dict)
     quarantine_changed: bool = False
