Do not quarantine searches that lose several servers at once

Ruled out: blame only after answers of other services are in (a request that crashes one service would never be found); a longer window for one loss (a retry that crashes falls into it too). Change: servers lost under calls that were sent before the first loss count once; a call sent after it counts again. A search sends one lost part again at a time, and the others only once that part's server has answered, so a crashing request costs one more server and an innocent one keeps its coverage.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -121,6 +121,27 @@
     assert harness.state.counters["quarantine.imposed"] == 0
 
 
+def test_search_on_two_servers_lost_together_is_answered_in_full() -> None:
+    """Guards against a rack failure that quarantines a search in flight, or costs its coverage."""
+    harness = Harness()
+    harness.start(services=3)
+    first, second, third = harness.search(1)
+    for attempt in (first, second):
+        kind = events.FailureKind.LOST
+        harness.send(events.AttemptFailed(harness.at, attempt.attempt_id, kind))
+    harness.answer(third)
+    (probe,) = harness.take(effects.SendSearch)
+    assert probe.service == first.service
+    harness.answer(probe)
+    (released,) = harness.take(effects.SendSearch)
+    assert released.service == second.service
+    harness.answer(released)
+    (reply,) = harness.take(effects.ReplySearch)
+    assert reply.coverage.share == 1.0
+    assert harness.state.counters["quarantine.imposed"] == 0
+    assert harness.state.suspects_by_fingerprint == {}
+
+
 def test_answer_takes_blame_back() -> None:
     """Guards against blame that adds up over hours of ordinary losses."""
     harness = Harness()
--- a/turmerictiller/quarantine.py
+++ b/turmerictiller/quarantine.py
@@ -1,7 +1,9 @@
 """Requests that crash upstreams: suspicion, quarantine, and tests after a while.
 
-A lost server puts blame on the requests that it was running. An answer from a server of the same
-service takes the blame back, because a request that crashes upstreams is never answered.
+A lost server puts blame on the requests that it was running. Servers that are lost while the same
+calls of a request run count once, because a rack takes down several servers at once; a call that was
+sent after a loss and loses its server too counts again. An answer from a server of the same service
+takes the blame back, because a request that crashes upstreams is never answered.
 """
 
 from __future__ import annotations
@@ -17,7 +19,8 @@
 
 ONE_LOSS_MS = 100.0  # losses of one server within this time are one loss
 BLAME_LIMIT = 1.5
-MIN_LOST_SERVERS = 2
+MAX_LOST_SERVERS = 16  # names of lost servers that are kept for operators
+MAX_LOSSES = 8  # the oldest loss of a suspect is forgotten
 FIRST_QUARANTINE_MS = 30_000.0
 LONGEST_QUARANTINE_MS = 3_600_000.0
 FORGET_AFTER_MS = 7_200_000.0
@@ -25,17 +28,30 @@
 FOREIGN_GRACE_MS = 60_000.0
 
 
+@dataclass(slots=True)
+class Loss:
+    """Servers that were lost at one time while they ran a request.
+
+    :param next_attempt_id: attempts from this one on were sent after the loss.
+    :param blame: 1 if the request was the only one on a lost server, else its share.
+    :param services: services that lost a server and have not answered the request since.
+    """
+
+    next_attempt_id: int
+    blame: float
+    services: set[str]
+
+
 @dataclass(slots=True)
 class Suspect:
     """A fingerprint that may belong to a request that crashes upstreams.
 
-    :param blame_by_service: blame since the last answer of the service.
     :param until: end of the quarantine; the past when there is none.
     :param tests_failed: tests after which a server was lost again.
     """
 
     fingerprint: str
-    blame_by_service: dict[str, float] = field(default_factory=dict)
+    losses: list[Loss] = field(default_factory=list)
     server_ids: set[str] = field(default_factory=set)
     until: Millis = float("-inf")
     tests_failed: int = 0
@@ -45,7 +61,7 @@
 
     @property
     def blame(self) -> float:
-        return sum(self.blame_by_service.values())
+        return sum(loss.blame for loss in self.losses)
 
 
 def on_server_lost(state: State, attempt: Attempt, server: ServerState) -> None:
@@ -53,24 +69,26 @@
     if state.now - server.lost_at <= ONE_LOSS_MS:
         return
     server.lost_at = state.now
-    fingerprints = {attempt.fingerprint}
+    running = {attempt.fingerprint: attempt}
     for attempt_id in server.attempt_ids:
-        fingerprints.add(state.attempts_by_id[attempt_id].fingerprint)
-    for fingerprint in sorted(fingerprints):
-        _blame(state, fingerprint, server, 1 / len(fingerprints), attempt.call_id)
+        other = state.attempts_by_id[attempt_id]
+        running.setdefault(other.fingerprint, other)
+    for _, blamed in sorted(running.items()):
+        _blame(state, blamed, server, 1 / len(running))
 
 
-def _blame(state: State, fingerprint: str, server: ServerState, blame: float, call_id: int) -> None:
+def _blame(state: State, attempt: Attempt, server: ServerState, blame: float) -> None:
+    fingerprint = attempt.fingerprint
     suspect = state.suspects_by_fingerprint.get(fingerprint)
     if suspect is None:
         _make_room(state)
         suspect = Suspect(fingerprint)
         state.suspects_by_fingerprint[fingerprint] = suspect
     suspect.last_at = state.now
-    suspect.server_ids.add(server.id)
-    before = suspect.blame_by_service.get(server.service, 0.0)
-    suspect.blame_by_service[server.service] = before + blame
-    if suspect.testing_call_id == call_id:
+    if len(suspect.server_ids) < MAX_LOST_SERVERS:
+        suspect.server_ids.add(server.id)
+    _add_loss(state, suspect, attempt, blame)
+    if suspect.testing_call_id == attempt.call_id:
         suspect.testing_call_id = None
         suspect.tests_failed += 1
         _impose(state, suspect)
@@ -78,8 +96,18 @@
         _impose(state, suspect)
 
 
+def _add_loss(state: State, suspect: Suspect, attempt: Attempt, blame: float) -> None:
+    last = suspect.losses[-1] if suspect.losses else None
+    if last is not None and attempt.id < last.next_attempt_id:
+        last.blame = max(last.blame, blame)
+        last.services.add(attempt.service)
+        return
+    suspect.losses.append(Loss(state.next_attempt_id, blame, {attempt.service}))
+    del suspect.losses[:-MAX_LOSSES]
+
+
 def _is_condemned(suspect: Suspect) -> bool:
-    return suspect.blame >= BLAME_LIMIT and len(suspect.server_ids) >= MIN_LOST_SERVERS
+    return suspect.blame >= BLAME_LIMIT
 
 
 def _impose(state: State, suspect: Suspect) -> None:
@@ -103,8 +131,10 @@
         return
     if suspect.is_foreign:
         return
-    suspect.blame_by_service.pop(attempt.service, None)
-    if not suspect.blame_by_service:
+    for loss in suspect.losses:
+        loss.services.discard(attempt.service)
+    suspect.losses = [loss for loss in suspect.losses if loss.services]
+    if not suspect.losses:
         del state.suspects_by_fingerprint[attempt.fingerprint]
     elif not _is_condemned(suspect):
         suspect.until = float("-inf")
@@ -131,9 +161,9 @@
 
 
 def service_to_test(state: State, fingerprint: str) -> str | None:
-    """Return the service that a test should call: the one with the most blame."""
-    blame = state.suspects_by_fingerprint[fingerprint].blame_by_service
-    return max(sorted(blame), key=blame.__getitem__) if blame else None
+    """Return the service that a test should call: one of those that lost a server last."""
+    losses = state.suspects_by_fingerprint[fingerprint].losses
+    return min(losses[-1].services) if losses else None
 
 
 def end_test(state: State, fingerprint: str, call_id: int) -> None:
--- a/turmerictiller/searches.py
+++ b/turmerictiller/searches.py
@@ -17,6 +17,7 @@
 from turmerictiller.errors import CursorError, Ran, Refusal, RefusalType
 from turmerictiller.events import FailureKind
 from turmerictiller.fronts import Priority
+from turmerictiller.losses import may_send_again, release_lost_parts
 from turmerictiller.membership import observe_status
 from turmerictiller.merge import Cursor, decode_cursor, encode_cursor, hits_after, rank, top_k
 from turmerictiller.quarantine import begin_test, end_test, quarantined_for_ms, service_to_test
@@ -30,7 +31,6 @@
 
 RETRY_AFTER_MS = 200
 MAX_QUERY_CHARS = 4_096
-MAX_LOST_SERVERS = 2  # a search that has lost this many servers may be what crashes them
 RESTART_MIN_SHARE = 0.5
 
 MISSING_REASON_BY_FAILURE = {
@@ -226,10 +226,13 @@
     part = search.parts_by_service[attempt.service]
     part.attempt_ids.remove(attempt.id)
     if event.kind is FailureKind.LOST:
-        search.lost_server_ids.add(attempt.server_id)
         if quarantined_for_ms(state, search.fingerprint) is not None:
             _finish_quarantined(state, search)
             return
+        if not part.attempt_ids and not may_send_again(search, part):
+            part.missing_reason = "crashed"
+            _finish_if_resolved(state, search)
+            return
     if event.kind is FailureKind.SNAPSHOT_GONE and _restart(state, search):
         return
     _retry_part(state, search, part, MISSING_REASON_BY_FAILURE[event.kind])
@@ -267,6 +270,7 @@
         cancel_attempts(state, part)
     state.counters["searches.restarted"] += 1
     search.restarted = True
+    search.probing_service = None
     search.snapshot = newer
     search.hits = []
     set_parts(state, search)
@@ -281,9 +285,6 @@
     if search.is_test:
         finish(state, search)
         return
-    if len(search.lost_server_ids) >= MAX_LOST_SERVERS:
-        part.resolved = True
-        return
     _start_or_resolve(state, search, part, reason)
 
 
@@ -308,6 +309,10 @@
 def _finish_if_resolved(state: State, search: Search) -> None:
     if search.call_id not in state.searches_by_id:
         return
+    probing = search.parts_by_service.get(search.probing_service or "")
+    if probing is not None and probing.resolved:
+        for part in release_lost_parts(search, probing):
+            _start_or_resolve(state, search, part, "crashed")
     if all(part.resolved for part in search.parts_by_service.values()):
         finish(state, search)
 
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -114,6 +114,7 @@
     merged_shards: frozenset[str] = frozenset()
     resolved: bool = False
     missing_reason: str = "timed_out"
+    is_held: bool = False
 
 
 @dataclass(slots=True)
@@ -138,7 +139,7 @@
     is_test: bool = False
     parts_by_service: dict[str, ServicePart] = field(default_factory=dict)
     hits: list[Hit] = field(default_factory=list)
-    lost_server_ids: set[str] = field(default_factory=set)
+    probing_service: str | None = None
 
 
 @dataclass(slots=True)
