Test callers that take no answers and faults of handlers

Cause: no test covered the time to take an answer, a call that the reducer never answers, or an exception in a handler. Ruled out: a test of each with a full answer of megabytes; pipelined small requests fill the socket as well. Change: one test of a caller that does not read, and two more faults in the test of faults. Before: 66 tests. After: 67 tests pass. Mutants: a call left without the time limit fails the test. Without the time to take an answer, or without the reset after it, the test does not end (runs stopped after 30 s and 10 minutes). Catching only ValueError in the handlers changes nothing, because the connection's own error handler gives the same answer. Conclusion: the three cases hold; the two layers for handler errors are equal in effect.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.serving import Served, on_instance, post, read_answer, search, until
-from turmerictiller import application
+from turmerictiller import application, callers
 from turmerictiller.errors import HTTP_STATUS_BY_REFUSAL, RefusalType
 from turmerictiller.events import SearchArrived
 
@@ -129,6 +129,19 @@
     assert (await served.call(search()))[0] == 200
 
 
+@on_instance(read_timeout_ms=200)
+async def test_caller_that_takes_no_answers_is_disconnected(served: Served) -> None:
+    """Guards against answers that pile up for a caller that does not read them."""
+    sock = socket.create_connection(("127.0.0.1", served.app.callers.listener.port))
+    sock.setblocking(False)
+    await until(lambda: served.app.callers.listener.connections)
+    sending = asyncio.create_task(asyncio.get_running_loop().sock_sendall(sock, _get() * 400_000))
+    await until(lambda: not served.app.callers.listener.connections)
+    with pytest.raises(ConnectionError):
+        await sending
+    sock.close()
+
+
 @pytest.mark.parametrize("is_reset", [False, True])
 @on_instance()
 async def test_caller_gone_cancels_its_upstream_calls(served: Served, is_reset: bool) -> None:
@@ -189,7 +202,7 @@
         if query in ("fault", "lose all"):
             raise ZeroDivisionError
         effects, state.out = state.out, []
-        return effects
+        return [] if query == "forgotten" else effects
 
     monkeypatch.setattr(application, "reduce", faulty)
     status, _, body = await served.call(search(query="fault"))
@@ -201,4 +214,8 @@
     assert (await served.call(search(query="lose all")))[2]["error"] == "internal"
     assert served.app.callers.counters["refusals.internal"] == 3
     assert (await waiting)[2]["error"] == "internal"
+    monkeypatch.setattr(callers, "ANSWER_SLACK_MS", -served.app.settings.max_deadline_ms)
+    assert (await served.call(search(query="forgotten")))[2]["error"] == "internal"
+    monkeypatch.setattr(served.app.callers, "_health", lambda: 1 / 0)
+    assert (await served.call(_get()))[2]["error"] == "internal"
     assert not served.run.done()
