--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -192,10 +192,10 @@
     served: Served, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against an exception that ends the process or leaves callers without an answer."""
-    reduce = application.reduce
+    reduce = application.reduce_recorded
 
-    def faulty(state: Any, event: Any) -> Any:
-        state.out = reduce(state, event)
+    def faulty(trace: Any, state: Any, event: Any) -> Any:
+        state.out = reduce(trace, state, event)
         query = event.query if isinstance(event, SearchArrived) else ""
         if query == "lose all":
             state.searches_by_id.clear()
@@ -204,7 +204,7 @@
         effects, state.out = state.out, []
         return [] if query == "forgotten" else effects
 
-    monkeypatch.setattr(application, "reduce", faulty)
+    monkeypatch.setattr(application, "reduce_recorded", faulty)
     status, _, body = await served.call(search(query="fault"))
     assert (status, body["error"], body["ran"]) == (500, "internal", "maybe")
     assert (await served.call(search()))[0] == 200
--- /dev/null
+++ b/tests/test_cmd.py
@@ -0,0 +1,155 @@
+"""Tests of the command line."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+from unittest.mock import patch
+
+import orjson
+from typer.testing import CliRunner
+
+from tests.reducing import definitions, first_note
+from turmerictiller import effects, events
+from turmerictiller.caller_answers import search_body
+from turmerictiller.cmd import http
+from turmerictiller.cmd.main import app
+
+runner = CliRunner()
+
+
+def write(path: Path, value: Any) -> str:
+    path.write_bytes(orjson.dumps(value))
+    return str(path)
+
+
+def test_entry_lists_every_mistake_by_flag() -> None:
+    """Guards against settings that are mended one mistake per start."""
+    flags = ["--seed", "x", "--caller-address", "nowhere", "--shutdown-limit-ms", "1"]
+    done = runner.invoke(app, ["entry", *flags], env={"TURMERICTILLER_MAX_PEERS": "0"})
+    assert done.exit_code == 2
+    for flag in ("--instance-id", "--failure-domain", "--seed", "--caller-address", "--max-peers"):
+        assert f"{flag}:" in done.stderr
+    assert "--shutdown-limit-ms must be longer than --drain-notice-ms" in done.stderr
+
+
+def test_flag_wins_over_environment() -> None:
+    """Guards against an environment variable that overrides what was typed."""
+    env = {"TURMERICTILLER_SEED": "3", "TURMERICTILLER_MAX_PEERS": "bad"}
+    done = runner.invoke(app, ["entry", "--seed", "bad"], env=env)
+    assert "--seed:" in done.stderr
+    assert "--max-peers:" in done.stderr
+    done = runner.invoke(app, ["entry", "--max-peers", "5", "--seed", "bad"], env=env)
+    assert "--max-peers:" not in done.stderr
+
+
+def test_help_of_each_command() -> None:
+    """Guards against a help that fails to render, and markup that swallows the defaults."""
+    for command in app.registered_commands:
+        done = runner.invoke(app, [command.name or "", "--help"])
+        assert (done.exit_code, "Usage" in done.stdout) == (0, True)
+    shown = runner.invoke(app, ["entry", "--help"], env={"COLUMNS": "200"}).stdout
+    assert "(default 512)" in shown
+    assert shown.count("(required)") == 2
+
+
+def test_sealed_notes_pass_the_check(tmp_path: Path) -> None:
+    """Guards against a sealed note that instances refuse."""
+    changes = write(tmp_path / "c1", {"added": definitions()})
+    first = str(tmp_path / "first")
+    assert runner.invoke(app, ["seal-note", changes, "--out", first]).exit_code == 0
+    changes = write(tmp_path / "c2", {"withdrawn": {"fronts": ["booking"]}})
+    second = runner.invoke(app, ["seal-note", changes, "--after", first])
+    assert orjson.loads(second.stdout)["number"] == 2
+    path = write(tmp_path / "second", orjson.loads(second.stdout))
+    assert runner.invoke(app, ["check-note", path, "--after", first]).exit_code == 0
+    done = runner.invoke(app, ["check-note", first, "--after", path])
+    assert (done.exit_code, "older_note" in done.stderr) == (1, True)
+
+
+def test_check_note_lists_every_error_with_its_place(tmp_path: Path) -> None:
+    """Guards against a check that stops at the first mistake."""
+    note = first_note()
+    note["result"]["fronts"][0]["services"] = ["a", "b"]
+    done = runner.invoke(app, ["check-note", write(tmp_path / "n", note)])
+    assert done.exit_code == 1
+    assert done.stderr.count("result.fronts.0.services") == 2
+    note["number"], note["result"]["fronts"][0]["k_max"] = 0, 0
+    done = runner.invoke(app, ["check-note", write(tmp_path / "n", note)])
+    assert "number:" in done.stderr
+    assert "result.fronts.0.k_max:" in done.stderr
+
+
+def test_unreadable_files_exit_with_two(tmp_path: Path) -> None:
+    """Guards against a missing file that looks like a wrong note."""
+    (tmp_path / "text").write_text("{")
+    for name in ("none", "text"):
+        for command in ("check-note", "seal-note"):
+            done = runner.invoke(app, [command, str(tmp_path / name)])
+            assert (done.exit_code, bool(done.stderr)) == (2, True)
+    wrong = write(tmp_path / "wrong", {"added": {"fronts": [{}]}, "other": 1})
+    done = runner.invoke(app, ["seal-note", wrong])
+    assert done.exit_code == 1
+    assert done.stderr.count("wrong:") == 2
+
+
+def test_search_prints_hits_coverage_and_refusals() -> None:
+    """Guards against output that hides missing shards or a refusal."""
+    hit = events.Hit(0.5, "a/0", "d1", {"title": "velvet"})
+    coverage = effects.Coverage(1, 2, (effects.MissingShard("a/1", "a", "timed_out"),))
+    answer = search_body(effects.ReplySearch(1, (hit,), "1-abc", coverage, None, 12.0))
+    command = ["search", "127.0.0.1:1", "booking", "velvet"]
+    with patch.object(http, "post_json", return_value=(200, answer)):
+        shown = runner.invoke(app, command).stdout
+    for text in ("title=velvet", "1-abc", "1 of 2 shards (50.0%)", "a/1 (timed_out)", "12.0 ms"):
+        assert text in shown
+    refusal = {"error": "no_note", "message": "none", "ran": "no", "retry_after_ms": 200}
+    with patch.object(http, "post_json", return_value=(503, refusal)):
+        done = runner.invoke(app, command)
+    assert done.exit_code == 1
+    assert "no_note: none. It was not run. Try again after 200 ms." in done.stderr
+
+
+def test_unreachable_process_exits_with_two() -> None:
+    """Guards against a traceback where nobody listens."""
+    for arguments in (["state", "127.0.0.1:1"], ["search", "127.0.0.1:1", "booking", "x"]):
+        done = runner.invoke(app, arguments)
+        assert done.exit_code == 2
+        assert "127.0.0.1:1" in done.stderr
+
+
+def test_address_in_use_ends_with_a_message() -> None:
+    """Guards against a traceback, or a process without listeners, when a port is taken."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        flags = ["--instance-id", "e1", "--failure-domain", "plateau", "--caller-address", address]
+        done = runner.invoke(app, ["entry", *flags])
+        assert (done.exit_code, address.split(":")[1] in done.stderr) == (1, True)
+        flags += ["--peer-address", address, "--shutdown-limit-ms", "1"]
+        done = runner.invoke(app, ["entry", *flags])
+        assert "--shutdown-limit-ms must be longer" in done.stderr
+        assert "--peer-address must not be the same as --caller-address" in done.stderr
+
+
+def test_state_and_trace_read_a_process(tmp_path: Path) -> None:
+    """Guards against commands that take an error page for an answer."""
+
+    class Handler(BaseHTTPRequestHandler):
+        def do_GET(self) -> None:
+            self.send_response({"/state": 200, "/trace": 200}.get(self.path, 503))
+            self.end_headers()
+            self.wfile.write(b"{}\n{}\n")
+
+    with ThreadingHTTPServer(("127.0.0.1", 0), Handler) as server:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        url = f"127.0.0.1:{server.server_port}"
+        assert runner.invoke(app, ["state", url]).stdout.startswith("{}")
+        done = runner.invoke(app, ["trace", url, "--out", str(tmp_path / "t")])
+        assert (done.exit_code, (tmp_path / "t").read_bytes()) == (0, b"{}\n{}\n")
+        assert runner.invoke(app, ["replay", str(tmp_path / "t")]).exit_code == 2
+        done = runner.invoke(app, ["state", f"{url}/other"])
+        assert (done.exit_code, "status 503" in done.stderr) == (2, True)
+        server.shutdown()
--- a/turmerictiller/application.py
+++ b/turmerictiller/application.py
@@ -20,13 +20,17 @@
     Tick,
     TicketRequested,
 )
+from turmerictiller.exposition import exposition
 from turmerictiller.lifecycle import is_leaving
 from turmerictiller.logs import part_logger
-from turmerictiller.operators import operator_application
+from turmerictiller.metrics import Metrics, observe_before, observe_effects
+from turmerictiller.operators import OperatorViews, operator_application
+from turmerictiller.peers import Peers
 from turmerictiller.platform_client import PlatformClient
-from turmerictiller.reducer import recover, reduce
+from turmerictiller.reducer import recover
 from turmerictiller.state import new_state
 from turmerictiller.state_dump import dump_state, health
+from turmerictiller.trace import Trace, dump_trace, reduce_recorded
 from turmerictiller.upstreams import UpstreamClient
 
 if TYPE_CHECKING:
@@ -44,6 +48,8 @@
         self.settings = settings
         self.clock = Clock()
         self.state = new_state(settings)
+        self.trace = Trace(settings)
+        self.metrics = Metrics(settings)
         self.started = asyncio.Event()
         self.callers = CallerServer(
             settings,
@@ -54,6 +60,7 @@
         )
         self._upstreams: UpstreamClient
         self._platform: PlatformClient
+        self._peers: Peers
         self._runners: list[web.AppRunner] = []
         self._wake: asyncio.TimerHandle | None = None
         self._stopped = asyncio.Event()
@@ -62,12 +69,14 @@
 
     def dispatch(self, event: Event) -> None:
         """Reduce one event and carry out its effects; a fault ends only the call concerned."""
+        observe_before(self.metrics, self.state, event)
         try:
-            new = reduce(self.state, event)
+            new = reduce_recorded(self.trace, self.state, event)
         except Exception as error:
             self._carry_out(recover(self.state))
             self._on_fault(event, error)
             return
+        observe_effects(self.metrics, new)
         self._carry_out(new)
 
     def _carry_out(self, new: list[effects.Effect]) -> None:
@@ -91,12 +100,15 @@
         """Serve until the process is told to stop."""
         self._upstreams = UpstreamClient(self.settings, self.clock, self.dispatch)
         self._platform = PlatformClient(self.settings, self.clock, self.dispatch)
+        self._peers = Peers(self.settings, self.clock, self.dispatch, self._note_document)
         self._run_by_effect = self._effect_table()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.shut_down)
         await self.callers.listener.open(self.callers.application())
-        await self._listen(operator_application(self._dump), self.settings.operator_address)
+        operators = operator_application(self._operator_views())
+        await self._listen(operators, self.settings.operator_address)
+        await self._peers.start()
         self.dispatch(Tick(self.clock.now_ms()))
         self._platform.start()
         log("Started.", caller_address=self.settings.caller_address)
@@ -128,12 +140,19 @@
             effects.ReplyRefusal: self.callers.reply,
             effects.ReplyTicket: self.callers.reply,
             effects.ReplyOutcome: self.callers.reply,
+            effects.SendGossip: self._peers.send_gossip,
+            effects.FetchNote: self._peers.fetch_note,
+            effects.ForwardRun: self._peers.forward_run,
+            effects.AnswerForward: self._peers.server.answer_forward,
             effects.WakeAt: self._set_wake,
             effects.WriteLog: self._write_log,
             effects.CloseListeners: self._close_listeners,
             effects.Stop: lambda effect: self._stopped.set(),
         }
 
+    def _note_document(self) -> dict[str, Any] | None:
+        return self.state.note.document if self.state.note else None
+
     def _close_listeners(self, effect: effects.CloseListeners) -> None:
         self.callers.listener.close_listening()
         self._closing = asyncio.get_running_loop().create_task(self._wait_for_callers())
@@ -142,6 +161,14 @@
         await self.callers.listener.wait_until_left()
         self.dispatch(CallersLeft(self.clock.now_ms()))
 
+    def _operator_views(self) -> OperatorViews:
+        return OperatorViews(
+            state=self._dump,
+            health=lambda: health(self.state),
+            trace=lambda: dump_trace(self.trace),
+            metrics=lambda: exposition(self.state, self.metrics, self.trace, self.callers.counters),
+        )
+
     def _set_wake(self, effect: effects.WakeAt) -> None:
         if self._wake is not None:
             self._wake.cancel()
@@ -173,6 +200,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._platform.close()
+        await self._peers.close()
         await self._upstreams.close()
         if self._wake is not None:
             self._wake.cancel()
--- /dev/null
+++ b/turmerictiller/gossip.py
@@ -0,0 +1,65 @@
+"""Gossip rounds and gossip received."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller import notes_in_force, peer_membership
+from turmerictiller.effects import SendGossip
+from turmerictiller.gossip_content import full_message, short_message
+from turmerictiller.membership import mark_draining
+from turmerictiller.quarantine import adopt
+from turmerictiller.state import State, TimerKind
+
+if TYPE_CHECKING:
+    from turmerictiller.events import GossipReceived, PeerFailed
+    from turmerictiller.gossip_model import GossipMessage
+
+ROUND_JITTER = 0.1
+
+
+def on_gossip_round(state: State, _key: None = None) -> None:
+    """Send gossip to random peers and bring the view of the members up to date."""
+    if state.peers.listening_since is None:
+        state.peers.listening_since = state.now
+    _schedule(state)
+    state.peers.heartbeat += 1
+    peer_membership.recount(state)
+    for address in peer_membership.gossip_targets(state):
+        state.out.append(SendGossip(address, full_message(state)))
+    notes_in_force.on_round(state)
+
+
+def _schedule(state: State) -> None:
+    jitter = 1 + ROUND_JITTER * (2 * state.rng.random() - 1)
+    state.timers.add(state.now + state.settings.gossip_interval_ms * jitter, TimerKind.GOSSIP)
+
+
+def on_gossip_received(state: State, event: GossipReceived) -> None:
+    """Take in a message of a peer."""
+    message: GossipMessage = event.message
+    sender = message.sender
+    if sender.id == state.settings.instance_id:
+        state.counters["gossip.own_id"] += 1
+        return
+    state.counters["gossip.received"] += 1
+    if peer_membership.observe_member(state, sender, is_direct=True):
+        peer = state.peers.by_id[sender.id]
+        peer.note_number, peer.note_digest = message.note_number, message.note_digest
+    for member in message.members:
+        peer_membership.observe_member(state, member, is_direct=False)
+    peer_membership.recount(state)
+    for server in message.draining:
+        mark_draining(state, server.id, server.incarnation)
+    for entry in message.quarantine:
+        adopt(state, entry.fingerprint, entry.remaining_ms, entry.tests_failed)
+    if message.ask:
+        answer = short_message(state, answer_to=message.ask, to=sender.incarnation)
+        state.out.append(SendGossip(sender.address, answer))
+    notes_in_force.on_peer_note(state, message)
+
+
+def on_peer_failed(state: State, event: PeerFailed) -> None:
+    """Give up what was wanted from a peer that can not be reached."""
+    state.counters[f"peers.failed.{event.reason}"] += 1
+    notes_in_force.on_peer_failed(state, event.address)
--- a/turmerictiller/lifecycle.py
+++ b/turmerictiller/lifecycle.py
@@ -9,6 +9,7 @@
 from turmerictiller.effects import CloseListeners, ReplyRefusal, Stop, WriteLog
 from turmerictiller.errors import Ran, Refusal, RefusalType
 from turmerictiller.events import RunArrived, SearchArrived, TicketRequested
+from turmerictiller.gossip_content import farewell
 from turmerictiller.state import ProcessPhase, TimerKind
 
 if TYPE_CHECKING:
@@ -108,14 +109,19 @@
     state.lifecycle.last_call_at = state.now
     if _is_served(state, event):
         return True
-    refusal = Refusal(
-        RefusalType.SHUTTING_DOWN, "this instance is shutting down", Ran.NO, RETRY_ELSEWHERE_MS
-    )
+    # An earlier call under the ticket of a run may have run.
+    refusal = shutting_down(Ran.MAYBE if isinstance(event, RunArrived) else Ran.NO)
     state.counters[f"refusals.{refusal.type.value}"] += 1
     state.out.append(ReplyRefusal(event.call_id, refusal))
     return False
 
 
+def shutting_down(ran: Ran) -> Refusal:
+    """Return the refusal of a call that came too late for this instance."""
+    message = "this instance is shutting down"
+    return Refusal(RefusalType.SHUTTING_DOWN, message, ran, RETRY_ELSEWHERE_MS)
+
+
 def _is_served(state: State, event: SearchArrived | TicketRequested | RunArrived) -> bool:
     phase = state.lifecycle.phase
     if isinstance(event, TicketRequested) or phase is ProcessPhase.STOPPED:
@@ -138,7 +144,7 @@
     if life.phase is not ProcessPhase.CLOSING:
         return
     runs = any(attempt.is_run for attempt in state.attempts_by_id.values())
-    in_flight = runs or bool(state.searches_by_id)
+    in_flight = runs or bool(state.searches_by_id) or bool(state.tickets.forwards_by_call)
     is_quiet = state.now - life.last_call_at >= state.settings.quiet_close_ms
     if is_quiet and not in_flight and not life.listeners_closed:
         life.listeners_closed = True
@@ -155,6 +161,7 @@
     if not state.lifecycle.listeners_closed:
         state.lifecycle.listeners_closed = True
         state.out.append(CloseListeners())
+    state.out += farewell(state)
     state.out.append(Stop())
 
 
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -6,6 +6,7 @@
 
 from turmerictiller import (
     events,
+    gossip,
     housekeeping,
     lifecycle,
     membership,
@@ -13,6 +14,9 @@
     pauses,
     searches,
     snapshot,
+    ticket_forwards,
+    ticket_runs,
+    tickets,
 )
 from turmerictiller.effects import WakeAt
 from turmerictiller.state import TimerKind
@@ -23,12 +27,51 @@
     from turmerictiller.effects import Effect
     from turmerictiller.state import State
 
+
+def _is_run(state: State, attempt_id: int) -> bool:
+    attempt = state.attempts_by_id.get(attempt_id)
+    return attempt is not None and attempt.is_run
+
+
+def _on_caller_gone(state: State, event: events.CallerGone) -> None:
+    searches.on_caller_gone(state, event)
+    tickets.on_caller_gone(state, event)
+
+
+def _on_attempt_answered(state: State, event: events.AttemptAnswered) -> None:
+    if not _is_run(state, event.attempt_id):
+        searches.on_attempt_answered(state, event)
+
+
+def _on_run_answered(state: State, event: events.RunAnswered) -> None:
+    if _is_run(state, event.attempt_id):
+        ticket_runs.on_run_answered(state, event)
+    elif event.attempt_id not in state.attempts_by_id:
+        state.counters["attempts.late"] += 1
+
+
+def _on_attempt_failed(state: State, event: events.AttemptFailed) -> None:
+    if _is_run(state, event.attempt_id):
+        ticket_runs.on_run_failed(state, event)
+    else:
+        searches.on_attempt_failed(state, event)
+
+
 HANDLER_BY_EVENT: dict[type, Callable[[State, Any], None]] = {
     events.SearchArrived: searches.on_search_arrived,
-    events.CallerGone: searches.on_caller_gone,
-    events.AttemptAnswered: searches.on_attempt_answered,
-    events.AttemptFailed: searches.on_attempt_failed,
+    events.CallerGone: _on_caller_gone,
+    events.AttemptAnswered: _on_attempt_answered,
+    events.RunAnswered: _on_run_answered,
+    events.AttemptFailed: _on_attempt_failed,
+    events.TicketRequested: tickets.on_ticket_requested,
+    events.RunArrived: tickets.on_run_arrived,
+    events.RunForwarded: tickets.on_run_forwarded,
+    events.ForwardAnswered: ticket_forwards.on_forward_answered,
+    events.ForwardFailed: ticket_forwards.on_forward_failed,
     events.NoteSeen: notes_in_force.on_note_seen,
+    events.InstanceListSeen: membership.on_instance_list_seen,
+    events.GossipReceived: gossip.on_gossip_received,
+    events.PeerFailed: gossip.on_peer_failed,
     events.HealthReported: membership.on_health_reported,
     events.HealthFailed: membership.on_health_failed,
     events.ShardMapSeen: snapshot.on_shard_map_seen,
@@ -38,6 +81,8 @@
 
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
+    TimerKind.RUN_DEADLINE: tickets.on_deadline,
+    TimerKind.GOSSIP: gossip.on_gossip_round,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
     TimerKind.SHUTDOWN: lifecycle.on_shutdown_timer,
     TimerKind.HOUSEKEEPING: housekeeping.on_housekeeping,
