Measure slopes of gossip and membership

Cause: the capacity page needs the cost of control at the size of the fleet it is made for. Ruled out: real processes for 650 members (more than one machine should run). Change: bench/control_slopes.py measures rounds, messages, bytes and memory at 10 to 650 members; the fit of a line moved to bench/series.py.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,13 +15,13 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 import aiohttp
 import orjson
 
+from bench.control_slopes import control_series
+from bench.series import Series, report
 from turmerictiller import effects, events
 from turmerictiller.config import load_settings
 from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
@@ -30,31 +30,9 @@
 from turmerictiller.state import State, new_state
 from turmerictiller.util.canonical import canonical_json, snapshot_name
 
-OUTPUT = Path("build/slopes.json")
 SERVERS_PER_SERVICE = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Series:
-    """One cost at several sizes."""
-
-    name: str
-    unit: str
-    per: str
-    values_by_size: dict[int, float]
-
-    def line(self) -> tuple[float, float]:
-        """Return intercept and slope of the least-squares line."""
-        sizes = list(self.values_by_size)
-        values = list(self.values_by_size.values())
-        mean_size = sum(sizes) / len(sizes)
-        mean_value = sum(values) / len(values)
-        above = sum((x - mean_size) * (y - mean_value) for x, y in zip(sizes, values, strict=True))
-        below = sum((x - mean_size) ** 2 for x in sizes)
-        slope = above / below
-        return mean_value - slope * mean_size, slope
-
-
 def definitions(services: int) -> DefinitionsModel:
     """Return one front over the given number of services of three servers."""
     names = [f"jobs-{number}" for number in range(services)]
@@ -249,28 +227,6 @@
     ]
 
 
-def report(series: list[Series]) -> None:
-    """Print the measured values and the fitted lines, and write them as JSON."""
-    rows = []
-    for item in series:
-        intercept, slope = item.line()
-        values = ", ".join(f"{size}: {value:,.1f}" for size, value in item.values_by_size.items())
-        print(f"{item.name} [{item.unit}]: {values}")
-        print(f"    line: {intercept:,.2f} + {slope:,.4f} per {item.per}")
-        rows.append(
-            {
-                "name": item.name,
-                "unit": item.unit,
-                "per": item.per,
-                "values": item.values_by_size,
-                "intercept": intercept,
-                "slope": slope,
-            }
-        )
-    OUTPUT.parent.mkdir(exist_ok=True)
-    OUTPUT.write_text(json.dumps(rows, indent=2))
-
-
 def main() -> None:
     """Measure and report."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -278,7 +234,7 @@
     if parser.parse_args().serve:
         asyncio.run(serve())
         return
-    report(local_series() + network_series())
+    report(local_series() + control_series() + network_series())
 
 
 if __name__ == "__main__":
