Measure the decisions under load in virtual time

Cause: decisions on routing, hedging and admission need figures that are the same on every run. Ruled out: real processes, because their figures depend on what else the machine does. Change: bench/measure.py runs the reducer of every entry instance in virtual time against fake servers (slots, bounded queue, connection limit, cold start, late load reports); baselines replace functions of the product for the length of a run. Scenarios: steady, slowed, capacity, swing. Before: no figures. Mutants: unseeded arrivals (same-seed test), no connection limit and no queue bound (bounds test).

--- /dev/null
+++ b/bench/aims.py
@@ -0,0 +1,67 @@
+"""Aims of the decisions under load, as ratios within one run of the measuring tool."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from bench.deployments import DEADLINE_MS, DEPLOYMENTS, Deployment
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    Rows = dict[tuple[str, str], dict[str, Any]]
+
+
+def check_aims(rows: Sequence[dict[str, Any]]) -> list[str]:
+    """Return one line per aim that the rows allow to check."""
+    by_run = {(row["run"], row["policy"]): row for row in rows}
+    lines = []
+    for deployment in DEPLOYMENTS:
+        for name, value, is_met in _aims(by_run, deployment):
+            lines.append(f"{'met   ' if is_met else 'MISSED'}  {deployment.name}: {name}: {value}")
+    return lines
+
+
+def _aims(rows: Rows, deployment: Deployment) -> Iterator[tuple[str, str, bool]]:
+    yield from _steady(rows, deployment)
+    yield from _slowed(rows, deployment)
+    yield from _crest(rows, deployment)
+
+
+def _steady(rows: Rows, deployment: Deployment) -> Iterator[tuple[str, str, bool]]:
+    product = rows.get((f"{deployment.name}/steady", "product"))
+    if product is not None:
+        extra = product["extra_load"]
+        yield "steady: extra load at most 1%", f"{extra:.2%}", extra <= 0.01
+
+
+def _slowed(rows: Rows, deployment: Deployment) -> Iterator[tuple[str, str, bool]]:
+    run = f"{deployment.name}/slowed"
+    product, oracle, plain = (rows.get((run, name)) for name in ("product", "oracle", "random"))
+    if product is None or oracle is None or plain is None:
+        return
+    ratio = product["p99_ms"] / oracle["p99_ms"]
+    yield "slowed: p99 at most 1.25 times the oracle's", f"{ratio:.2f}", ratio <= 1.25
+    extra = product["extra_load"]
+    yield "slowed: extra load at most 3%", f"{extra:.2%}", extra <= 0.03
+    gain = plain["p99_ms"] / product["p99_ms"]
+    yield "slowed: p99 at least 5 times better than random", f"{gain:.2f}", gain >= 5
+
+
+def _crest(rows: Rows, deployment: Deployment) -> Iterator[tuple[str, str, bool]]:
+    crest = rows.get((f"{deployment.name}/swing/crest", "product"))
+    capacity = rows.get((f"{deployment.name}/capacity", "product"))
+    steady = rows.get((f"{deployment.name}/steady", "product"))
+    after = rows.get((f"{deployment.name}/swing/after", "product"))
+    if crest is None or capacity is None or steady is None or after is None:
+        return
+    share = crest["useful_per_s"] / deployment.fronts[0].capacity_per_s()
+    yield "crest: at least 95% of what upstreams can bear", f"{share:.2%}", share >= 0.95
+    ratio = crest["useful_per_s"] / capacity["useful_per_s"]
+    yield "crest: not less than at capacity", f"{ratio:.2f}", ratio >= 1
+    p99 = crest["p99_ms"]
+    yield "crest: p99 of answers within the deadline", f"{p99:.1f}", p99 <= DEADLINE_MS + 1e-6
+    coverage = crest["coverage_mean"]
+    yield "crest: coverage of answers over 99%", f"{coverage:.2%}", coverage > 0.99
+    back = after["p99_ms"] / steady["p99_ms"]
+    yield "swing: p99 back to 1.25 times steady after 2 s", f"{back:.2f}", back <= 1.25
--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,293 @@
+"""Fakes around the reducer in virtual time: network, servers and the shell of an instance."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from bench.deployments import shard_map
+from turmerictiller import effects, events
+from turmerictiller.events import FailureKind, UpstreamStatus
+from turmerictiller.reducer import reduce
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bench.deployments import FrontShape, Network
+    from bench.virtual_time import Clockwork
+    from turmerictiller.state import State
+
+LOAD_REPORT_MS = 1_000.0
+QUEUE_PER_SLOT = 5
+LOGNORMAL_SIGMA = 0.5
+STALL_SHARE = 0.005
+STALL_FACTOR = 5.0
+COLD_FACTOR = 4.0
+COLD_MS = 1_000.0
+POLL_TIMEOUT_MS = 1_000.0
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One sub-request on its way through network and server."""
+
+    instance: FakeInstance
+    effect: effects.SendSearch
+    server: FakeServer
+    expires_at: float
+    epoch: int
+    closed: bool = False
+    connected: bool = False
+
+
+@dataclass(eq=False)
+class FakeServer:
+    """A server with slots, a bounded queue, a limit on connections, shedding and cold start.
+
+    :param slowdown: factor on the service time.
+    :param epoch: number of restarts; connections of an earlier epoch are gone.
+    """
+
+    id: str
+    domain: str
+    service: str
+    shape: FrontShape
+    clock: Clockwork
+    rng: random.Random
+    counters: Counter[str]
+    snapshots: tuple[str, ...] = ()
+    shards: tuple[str, ...] = ()
+    slowdown: float = 1.0
+    crash_query: str = ""
+    up_at: float = -COLD_MS
+    epoch: int = 0
+    busy: int = 0
+    assigned: int = 0
+    open_connections: int = 0
+    queue: deque[Call] = field(default_factory=deque)
+    running: dict[Call, None] = field(default_factory=dict)
+    reported_load: float = 0.0
+    reported_at: float = 0.0
+
+    @property
+    def up(self) -> bool:
+        return self.clock.now >= self.up_at
+
+    def report_load(self) -> None:
+        """Sample the load figure that is reported until the next sample."""
+        self.reported_load = self.busy / self.shape.slots
+        self.reported_at = self.clock.now
+        self.clock.after(LOAD_REPORT_MS, self.report_load)
+
+    def status(self) -> UpstreamStatus:
+        """Return what the server says of itself; its load figure is up to a second old."""
+        age_ms = self.clock.now - self.reported_at
+        name = f"{self.id}.{self.epoch}"
+        return UpstreamStatus(name, False, self.snapshots, self.reported_load, age_ms)
+
+    def expected_ms(self) -> float:
+        """Return the delay that one more call would see."""
+        ahead = max(0, self.assigned + 1 - self.shape.slots)
+        return self.shape.service_ms * self.factor() * (1 + ahead / self.shape.slots)
+
+    def factor(self) -> float:
+        """Return the factor on the service time of a call that starts now."""
+        cold = max(0.0, self.up_at + COLD_MS - self.clock.now) / COLD_MS
+        return self.slowdown * (1 + (COLD_FACTOR - 1) * cold)
+
+    def accept(self, call: Call) -> None:
+        """Take in a call that arrived."""
+        if call.closed:
+            return
+        if not self.up or call.epoch != self.epoch:
+            call.instance.fail(call, FailureKind.LOST)
+        elif call.effect.snapshot not in self.snapshots:
+            call.instance.fail(call, FailureKind.SNAPSHOT_GONE, self.status())
+        elif self.busy < self.shape.slots:
+            self._start(call)
+        elif len(self.queue) >= QUEUE_PER_SLOT * self.shape.slots:
+            self.counters["shed"] += 1
+            call.instance.fail(call, FailureKind.SHED, self.status())
+        else:
+            self.queue.append(call)
+
+    def _start(self, call: Call) -> None:
+        if self.crash_query and call.effect.query == self.crash_query:
+            self.queue.append(call)
+            self.crash()
+            return
+        self.busy += 1
+        self.running[call] = None
+        self.counters["run"] += 1
+        time_ms = self.shape.service_ms * self.rng.lognormvariate(
+            -(LOGNORMAL_SIGMA**2) / 2, LOGNORMAL_SIGMA
+        )
+        if self.rng.random() < STALL_SHARE:
+            time_ms *= STALL_FACTOR
+        self.clock.after(time_ms * self.factor(), self._complete, call)
+
+    def _complete(self, call: Call) -> None:
+        if call not in self.running:
+            return
+        self._release(call)
+        call.instance.answer(call)
+
+    def _release(self, call: Call) -> None:
+        del self.running[call]
+        self.busy -= 1
+        while self.queue and self.busy < self.shape.slots and self.up:
+            waiting = self.queue.popleft()
+            if waiting.expires_at < self.clock.now:
+                waiting.instance.fail(waiting, FailureKind.REJECTED, self.status())
+            else:
+                self._start(waiting)
+
+    def cancel(self, call: Call) -> None:
+        """Stop a cancelled call and free its slot."""
+        if call in self.running:
+            self._release(call)
+        elif call in self.queue:
+            self.queue.remove(call)
+
+    def crash(self, down_ms: float = 500.0) -> None:
+        """Lose all calls and connections; come back cold."""
+        lost = [*self.running, *self.queue]
+        self.running.clear()
+        self.queue.clear()
+        self.busy = self.open_connections = 0
+        self.up_at = self.clock.now + down_ms
+        self.epoch += 1
+        self.counters["crashes"] += 1
+        for call in lost:
+            call.instance.fail(call, FailureKind.LOST)
+
+
+@dataclass(eq=False)
+class FakeInstance:
+    """The shell of one entry instance: carries out the reducer's effects in virtual time."""
+
+    state: State
+    network: Network
+    clock: Clockwork
+    servers_by_id: dict[str, FakeServer]
+    reply: Callable[[FakeInstance, effects.ReplySearch | effects.ReplyRefusal], None]
+    counters: Counter[str] = field(default_factory=Counter)
+    sent_parts: set[tuple[int, str]] = field(default_factory=set)
+    _idle: Counter[tuple[str, int]] = field(default_factory=Counter)
+    _calls_by_attempt: dict[int, Call] = field(default_factory=dict)
+
+    def dispatch(self, event: events.Event) -> None:
+        """Reduce one event and carry out its effects."""
+        for effect in reduce(self.state, event):
+            match effect:
+                case effects.SendSearch():
+                    self._send(effect)
+                case effects.CancelAttempt():
+                    self._cancel(effect.attempt_id)
+                case effects.ReplySearch() | effects.ReplyRefusal():
+                    self.reply(self, effect)
+                case effects.WakeAt():
+                    self.clock.at(effect.at, self._wake, effect.at)
+                case effects.FetchShardMap():
+                    self._fetch_map(effect)
+                case effects.PollHealth():
+                    self._poll(self.servers_by_id[effect.server_id])
+
+    def _wake(self, due_at: float) -> None:
+        if self.state.wake_at == due_at:
+            self.dispatch(events.Tick(self.clock.now))
+
+    def _delay_ms(self, server: FakeServer) -> float:
+        return self.network.delay_ms(self.state.settings.failure_domain, server.domain)
+
+    def _is_cut(self, server: FakeServer) -> bool:
+        return self.network.is_cut(self.state.settings.failure_domain, server.domain)
+
+    def _poll(self, server: FakeServer) -> None:
+        if self._is_cut(server) or not server.up:
+            failed = events.HealthFailed(self.clock.now + POLL_TIMEOUT_MS, server.id)
+            self.clock.at(failed.at, self.dispatch, failed)
+            return
+        at = self.clock.now + 2 * self._delay_ms(server)
+        self.clock.at(at, self.dispatch, events.HealthReported(at, server.id, server.status()))
+
+    def _fetch_map(self, effect: effects.FetchShardMap) -> None:
+        at = self.clock.now + 2 * self.network.deployment.between_ms
+        shards = shard_map(self.network.deployment)
+        seen = events.ShardMapSeen(at, effect.server_id, effect.snapshot, shards)
+        self.clock.at(at, self.dispatch, seen)
+
+    def _send(self, effect: effects.SendSearch) -> None:
+        server = self.servers_by_id[effect.server_id]
+        self.counters["sent"] += 1
+        attempt = self.state.attempts_by_id.get(effect.attempt_id)
+        if attempt is not None:
+            self.sent_parts.add((attempt.call_id, attempt.service))
+        call = Call(self, effect, server, self.clock.now + effect.budget_ms, server.epoch)
+        self._calls_by_attempt[effect.attempt_id] = call
+        server.assigned += 1
+        self.clock.after(effect.timeout_ms, self.fail, call, FailureKind.TIMED_OUT)
+        if self._is_cut(server):
+            return
+        open_ms = self._connect(call)
+        if call.connected:
+            self.clock.after(open_ms + self._delay_ms(server), server.accept, call)
+        else:
+            self.fail(call, FailureKind.UNSENT)
+
+    def _connect(self, call: Call) -> float:
+        server = call.server
+        if self._idle[server.id, server.epoch] > 0:
+            self._idle[server.id, server.epoch] -= 1
+            call.connected = True
+            return 0.0
+        call.connected = server.up and server.open_connections < server.shape.connections
+        server.open_connections += call.connected
+        return server.shape.open_ms
+
+    def answer(self, call: Call) -> None:
+        """Bring the answer of a server back."""
+        self.clock.after(self._delay_ms(call.server), self._on_answer, call, call.server.status())
+
+    def fail(self, call: Call, kind: FailureKind, status: UpstreamStatus | None = None) -> None:
+        """Bring a failure back."""
+        if not call.closed:
+            self.clock.after(self._delay_ms(call.server), self._on_failure, call, kind, status)
+
+    def _on_answer(self, call: Call, status: UpstreamStatus) -> None:
+        if self._is_cut(call.server) or not self._close(call, is_kept=True):
+            return
+        self.counters["merged"] += 1
+        effect, shards = call.effect, call.server.shards
+        self.dispatch(
+            events.AttemptAnswered(
+                self.clock.now, effect.attempt_id, effect.snapshot, shards, (), status
+            )
+        )
+
+    def _on_failure(self, call: Call, kind: FailureKind, status: UpstreamStatus | None) -> None:
+        is_kept = kind in (FailureKind.SHED, FailureKind.SNAPSHOT_GONE, FailureKind.REJECTED)
+        if self._close(call, is_kept):
+            self.counters[f"failed.{kind.value}"] += 1
+            self.dispatch(
+                events.AttemptFailed(self.clock.now, call.effect.attempt_id, kind, status)
+            )
+
+    def _close(self, call: Call, is_kept: bool) -> bool:
+        if call.closed:
+            return False
+        call.closed = True
+        call.server.assigned -= 1
+        del self._calls_by_attempt[call.effect.attempt_id]
+        if is_kept:
+            self._idle[call.server.id, call.epoch] += 1
+        elif call.connected and call.epoch == call.server.epoch:
+            call.server.open_connections -= 1
+        return True
+
+    def _cancel(self, attempt_id: int) -> None:
+        call = self._calls_by_attempt.get(attempt_id)
+        if call is not None and self._close(call, is_kept=False):
+            self.clock.after(self._delay_ms(call.server), call.server.cancel, call)
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,127 @@
+"""Measuring tool: the real reducer in virtual time against small fakes.
+
+Run it as ``make measure ARGS="--only slowed --seeds 3"``. The same seeds give the same numbers.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Annotated, Any
+
+import orjson
+import typer
+
+from bench.aims import check_aims
+from bench.deployments import DEADLINE_MS, DEPLOYMENTS, Deployment
+from bench.policies import POLICIES, Policy
+from bench.report import Sample, figures, table
+from bench.scenarios import SCENARIOS, WARM_UP_MS, Scenario
+from bench.world import World
+
+OUTPUT = Path("build/measure.json")
+
+Job = tuple[str, str, str, int]
+
+
+def run_once(
+    deployment: Deployment, scenario: Scenario, policy: Policy, seed: int
+) -> dict[str, Sample]:
+    """Return the samples of one run by window; the whole run has the empty name."""
+    world = World(deployment, seed, scenario.demand, policy.settings)
+    with policy.applied(world):
+        world.start()
+        scenario.script(world)
+        world.clock.run_until(WARM_UP_MS)
+        before = _counters(world)
+        world.clock.run_until(scenario.length_ms)
+        after = _counters(world)
+        world.clock.run_until(scenario.length_ms + 2 * DEADLINE_MS)
+    after.subtract(before)
+    windows = {"": (WARM_UP_MS, scenario.length_ms), **scenario.windows}
+    return {
+        name: Sample(_records(world, start, end), after, end - start)
+        for name, (start, end) in windows.items()
+    }
+
+
+def _records(world: World, start: float, end: float) -> list[Any]:
+    front = world.deployment.fronts[0].name
+    return [item for item in world.records if item.front == front and start <= item.asked_at < end]
+
+
+def _counters(world: World) -> Counter[str]:
+    counters = Counter({name: world.total(name) for name in ("sent", "merged")})
+    counters["needed"] = world.parts_sent()
+    counters.update(world.counters)
+    return counters
+
+
+def _run_job(job: Job) -> dict[str, Sample]:
+    deployment, scenario, policy, seed = job
+    return run_once(
+        next(item for item in DEPLOYMENTS if item.name == deployment),
+        next(item for item in SCENARIOS if item.name == scenario),
+        next(item for item in POLICIES if item.name == policy),
+        seed,
+    )
+
+
+def _run_all(jobs: list[Job], workers: int) -> list[dict[str, Sample]]:
+    if workers == 1:
+        return [_run_job(job) for job in jobs]
+    with ProcessPoolExecutor(workers) as pool:
+        return list(pool.map(_run_job, jobs))
+
+
+def rows_of(jobs: list[Job], results: list[dict[str, Sample]]) -> list[dict[str, Any]]:
+    """Return one row of figures per deployment, scenario, window and policy."""
+    samples: dict[tuple[str, str], Sample] = {}
+    for (deployment, scenario, policy, _), result in zip(jobs, results, strict=True):
+        for window, sample in result.items():
+            name = "/".join(part for part in (deployment, scenario, window) if part)
+            samples.setdefault((name, policy), Sample()).add(sample)
+    return [
+        {"run": name, "policy": policy, **figures(sample)}
+        for (name, policy), sample in samples.items()
+    ]
+
+
+def main(
+    only: Annotated[str, typer.Option(help="Run what has this in DEPLOYMENT/SCENARIO.")] = "",
+    seeds: Annotated[int, typer.Option(help="Number of seeds, from 1.", min=1)] = 1,
+    policy: Annotated[str, typer.Option(help="Policies, comma-separated; all if empty.")] = "",
+    workers: Annotated[int, typer.Option(help="Processes.", min=1)] = 2,
+) -> None:
+    """Measure the decisions under load."""
+    names = [item for item in policy.split(",") if item] or [item.name for item in POLICIES]
+    jobs = [
+        (deployment.name, scenario.name, name, seed)
+        for deployment in DEPLOYMENTS
+        for scenario in SCENARIOS
+        if only in f"{deployment.name}/{scenario.name}"
+        for name in names
+        for seed in range(1, seeds + 1)
+    ]
+    rows = rows_of(jobs, _run_all(jobs, workers))
+    aims = check_aims(rows)
+    typer.echo(table(rows))
+    typer.echo("\n".join(aims))
+    OUTPUT.parent.mkdir(exist_ok=True)
+    document = {"seeds": seeds, "rows": [_finite(row) for row in rows], "aims": aims}
+    OUTPUT.write_bytes(orjson.dumps(document, option=orjson.OPT_INDENT_2))
+
+
+def _finite(row: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: None if isinstance(value, float) and math.isnan(value) else value
+        for name, value in row.items()
+    }
+
+
+if __name__ == "__main__":
+    cli = typer.Typer(pretty_exceptions_enable=False)
+    cli.command()(main)
+    cli()
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,129 @@
+"""Policies that are measured: the product and the baselines that it is compared with.
+
+A baseline replaces functions of the product for the length of a run.
+"""
+
+from __future__ import annotations
+
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
+
+from turmerictiller.attempts import start_attempt
+from turmerictiller.reducer import HANDLER_BY_TIMER
+from turmerictiller.routing import servers_with
+from turmerictiller.state import TimerKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Container, Iterator
+
+    from bench.world import World
+    from turmerictiller.state import Search, ServerState, ServicePart, State
+
+    Choose = Callable[[State, str, str | None, Container[str]], ServerState | None]
+
+FIXED_HEDGE_MS = 40.0
+UNBOUNDED = 1_000_000
+
+
+@dataclass(frozen=True)
+class Policy:
+    """What is replaced in the product.
+
+    :param replacements: returns new functions by import path, given the fakes.
+    :param settings: settings that differ from the defaults.
+    """
+
+    name: str
+    replacements: Callable[[World], dict[str, Any]]
+    settings: dict[str, Any] = field(default_factory=dict)
+    fixed_hedge_ms: float | None = None
+
+    @contextmanager
+    def applied(self, world: World) -> Iterator[None]:
+        """Replace the functions while the context is open."""
+        with ExitStack() as stack:
+            for path, function in self.replacements(world).items():
+                stack.enter_context(patch(path, function))
+            if self.fixed_hedge_ms is not None:
+                start = _start_with_fixed_hedge(self.fixed_hedge_ms)
+                stack.enter_context(patch("turmerictiller.searches.start_attempt", start))
+                handlers = {TimerKind.HEDGE: _hedge}
+                stack.enter_context(patch.dict(HANDLER_BY_TIMER, handlers))
+            yield
+
+
+def _candidates(
+    state: State, service: str, snapshot: str | None, exclude: Container[str]
+) -> list[ServerState]:
+    return [item for item in servers_with(state, service, snapshot) if item.id not in exclude]
+
+
+def _random_server(
+    state: State, service: str, snapshot: str | None, exclude: Container[str] = ()
+) -> ServerState | None:
+    candidates = _candidates(state, service, snapshot, exclude)
+    return state.rng.choice(candidates) if candidates else None
+
+
+def _least_outstanding(
+    state: State, service: str, snapshot: str | None, exclude: Container[str] = ()
+) -> ServerState | None:
+    candidates = _candidates(state, service, snapshot, exclude)
+    return min(
+        candidates, key=lambda item: (len(item.attempt_ids), state.rng.random()), default=None
+    )
+
+
+def _oracle(world: World) -> Choose:
+    def choose(
+        state: State, service: str, snapshot: str | None, exclude: Container[str] = ()
+    ) -> ServerState | None:
+        domain = state.settings.failure_domain
+        candidates = [
+            item
+            for item in _candidates(state, service, snapshot, exclude)
+            if world.servers_by_id[item.id].up and not world.network.is_cut(domain, item.domain)
+        ]
+        return min(
+            candidates,
+            key=lambda item: (world.servers_by_id[item.id].expected_ms(), state.rng.random()),
+            default=None,
+        )
+
+    return choose
+
+
+def _start_with_fixed_hedge(hedge_ms: float) -> Callable[..., bool]:
+    def start(state: State, search: Search, part: ServicePart, is_hedge: bool = False) -> bool:
+        started = start_attempt(state, search, part, is_hedge)
+        if started:
+            key = (search.call_id, part.service)
+            state.timers.add(state.now + hedge_ms, TimerKind.HEDGE, key)
+        return started
+
+    return start
+
+
+def _hedge(state: State, key: tuple[int, str]) -> None:
+    search = state.searches_by_id.get(key[0])
+    part = search.parts_by_service.get(key[1]) if search else None
+    if search is not None and part is not None and not part.resolved:
+        start_attempt(state, search, part, is_hedge=True)
+
+
+def _choose_with(choose: Choose) -> dict[str, Any]:
+    return {"turmerictiller.attempts.choose_server": choose}
+
+
+PRODUCT = Policy("product", lambda world: {})
+RANDOM = Policy("random", lambda world: _choose_with(_random_server), {"max_searches": UNBOUNDED})
+LEAST = Policy(
+    "least+hedge",
+    lambda world: _choose_with(_least_outstanding),
+    {"max_searches": UNBOUNDED},
+    FIXED_HEDGE_MS,
+)
+ORACLE = Policy("oracle", lambda world: _choose_with(_oracle(world)), {"max_searches": UNBOUNDED})
+POLICIES = (PRODUCT, RANDOM, LEAST, ORACLE)
--- /dev/null
+++ b/bench/world.py
@@ -0,0 +1,181 @@
+"""One run in virtual time: instances, servers, callers and a record of every answer."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from bench.deployments import DEADLINE_MS, Network, note_document, shard_map, snapshot
+from bench.fakes import FakeInstance, FakeServer
+from bench.virtual_time import Clockwork
+from turmerictiller import effects, events
+from turmerictiller.config import load_settings
+from turmerictiller.state import new_state
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bench.deployments import Deployment, FrontShape
+
+FIRST_VERSION = 1
+
+
+@dataclass(slots=True)
+class Record:
+    """What one caller saw.
+
+    :param took_ms: time between asking and the answer, both at the caller; 0 if none came.
+    :param refusal: type of the refusal, empty for an answer.
+    """
+
+    asked_at: float
+    front: str
+    domain: str
+    parts: int = 0
+    took_ms: float = 0.0
+    coverage: float = 0.0
+    refusal: str = ""
+    retry_after_ms: float | None = None
+
+
+@dataclass
+class World:
+    """Everything in one run.
+
+    :param demand: factor on the ordinary demand at a time.
+    """
+
+    deployment: Deployment
+    seed: int
+    demand: Callable[[float], float]
+    settings: dict[str, Any] = field(default_factory=dict)
+    front_options: dict[str, Any] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.clock = Clockwork()
+        self.rng = random.Random(self.seed)
+        self.network = Network(self.deployment)
+        self.counters: Counter[str] = Counter()
+        self.records: list[Record] = []
+        self.records_by_call: dict[int, Record] = {}
+        self.note = note_document(self.deployment, **self.front_options)
+        self.servers_by_id = self._servers()
+        self.retired: list[FakeInstance] = []
+        self.instances: list[FakeInstance] = []
+        self._next_number = 0
+
+    def start(self) -> None:
+        """Start instances and callers."""
+        self.set_version(FIRST_VERSION)
+        self.instances = [self.new_instance(slot) for slot in range(self.deployment.instances)]
+        for server in self.servers_by_id.values():
+            server.report_load()
+        for shape in self.deployment.fronts:
+            self._schedule_arrival(shape)
+
+    def _servers(self) -> dict[str, FakeServer]:
+        shapes = {shape.name: shape for shape in self.deployment.fronts}
+        shards = shard_map(self.deployment)
+        servers = {}
+        for service in self.note["result"]["services"]:
+            shape = shapes[service["name"].rpartition("-")[0]]
+            for item in service["servers"]:
+                rng = random.Random(f"{self.seed}/{item['id']}")
+                server = FakeServer(
+                    item["id"],
+                    item["domain"],
+                    service["name"],
+                    shape,
+                    self.clock,
+                    rng,
+                    self.counters,
+                    shards=shards[service["name"]],
+                )
+                servers[server.id] = server
+        return servers
+
+    def set_version(self, version: int, kept: int = 1) -> None:
+        """Let all servers serve an index version and the ``kept - 1`` versions before it."""
+        for server in self.servers_by_id.values():
+            self.set_server_version(server, version, kept)
+
+    def set_server_version(self, server: FakeServer, version: int, kept: int = 1) -> None:
+        """Let one server serve an index version and the ``kept - 1`` versions before it."""
+        versions = range(max(FIRST_VERSION, version - kept + 1), version + 1)
+        server.snapshots = tuple(snapshot(self.deployment, item) for item in versions)
+
+    def new_instance(self, slot: int) -> FakeInstance:
+        """Return an instance that has heard of the note and of all reachable servers."""
+        self._next_number += 1
+        domains = self.deployment.domains
+        settings = load_settings(
+            {
+                "instance_id": f"e{slot}",
+                "failure_domain": domains[slot % len(domains)],
+                "incarnation": f"i{self._next_number}",
+                "seed": self.seed * 1_000 + self._next_number,
+                "peers": [f"127.0.0.1:{5_000 + n}" for n in range(1, self.deployment.instances)],
+                **self.settings,
+            }
+        )
+        instance = FakeInstance(
+            new_state(settings), self.network, self.clock, self.servers_by_id, self._on_reply
+        )
+        instance.dispatch(events.NoteSeen(self.clock.now, "platform", self.note))
+        for server in self.servers_by_id.values():
+            if server.up and not self.network.is_cut(settings.failure_domain, server.domain):
+                status = server.status()
+                instance.dispatch(events.HealthReported(self.clock.now, server.id, status))
+        return instance
+
+    def replace_instances(self) -> None:
+        """Restart all instances; the old ones finish what they have begun."""
+        self.retired += self.instances
+        self.instances = [self.new_instance(slot) for slot in range(self.deployment.instances)]
+
+    def _schedule_arrival(self, shape: FrontShape) -> None:
+        per_ms = shape.capacity_per_s() * shape.load * self.demand(self.clock.now) / 1000
+        self.clock.after(self.rng.expovariate(per_ms), self._on_arrival, shape)
+
+    def _on_arrival(self, shape: FrontShape) -> None:
+        self._schedule_arrival(shape)
+        self.ask(shape.name, f"query {self.rng.randrange(1_000_000)}")
+
+    def ask(self, front: str, query: str) -> None:
+        """Let a caller ask one instance, drawn by the balancer."""
+        call_id = len(self.records) + 1
+        instance = self.rng.choice(self.instances)
+        record = Record(self.clock.now, front, instance.state.settings.failure_domain)
+        self.records.append(record)
+        self.records_by_call[call_id] = record
+        client_ms = self.deployment.client_ms
+        event = events.SearchArrived(
+            at=self.clock.now + client_ms,
+            call_id=call_id,
+            front=front,
+            query=query,
+            deadline_ms=DEADLINE_MS - 2 * client_ms,
+            caller=f"caller-{call_id % 50}",
+        )
+        self.clock.at(event.at, instance.dispatch, event)
+
+    def _on_reply(
+        self, instance: FakeInstance, reply: effects.ReplySearch | effects.ReplyRefusal
+    ) -> None:
+        record = self.records_by_call.pop(reply.call_id)
+        record.took_ms = self.clock.now + self.deployment.client_ms - record.asked_at
+        if isinstance(reply, effects.ReplyRefusal):
+            record.refusal = reply.refusal.type.value
+            record.retry_after_ms = reply.refusal.retry_after_ms
+        else:
+            record.coverage = reply.coverage.share
+
+    def total(self, name: str) -> int:
+        """Return a counter summed over all instances, retired ones included."""
+        return sum(item.counters[name] for item in [*self.instances, *self.retired])
+
+    def parts_sent(self) -> int:
+        """Return the number of parts of searches for which at least one sub-request was sent."""
+        return sum(len(item.sent_parts) for item in [*self.instances, *self.retired])
--- /dev/null
+++ b/tests/test_measure.py
@@ -0,0 +1,61 @@
+"""Tests of the measuring tool and its fakes."""
+
+from __future__ import annotations
+
+from bench.deployments import DAKAR
+from bench.measure import run_once
+from bench.policies import ORACLE, PRODUCT, Policy
+from bench.report import figures, quantile
+from bench.scenarios import SLOWED, WARM_UP_MS, Scenario
+from bench.world import World
+from turmerictiller import routing
+
+SHORT = Scenario("short", length_ms=WARM_UP_MS + 300.0, script=SLOWED.script)
+
+
+def _figures(policy: Policy, seed: int = 1) -> dict[str, float]:
+    return figures(run_once(DAKAR, SHORT, policy, seed)[""])
+
+
+def test_same_seed_gives_the_same_figures() -> None:
+    """Guards against figures that can not be compared between two commits."""
+    first, second = _figures(PRODUCT), _figures(PRODUCT)
+    assert first == second
+    assert first != _figures(PRODUCT, seed=2)
+
+
+def test_policy_is_undone_after_its_run() -> None:
+    """Guards against a baseline that leaks into the runs of the product."""
+    original = routing.choose_server
+    before = _figures(PRODUCT)
+    assert _figures(ORACLE) != before
+    assert routing.choose_server is original
+    assert _figures(PRODUCT) == before
+
+
+def test_every_caller_gets_one_answer() -> None:
+    """Guards against lost callers, which would improve the figures unseen."""
+    sample = run_once(DAKAR, SHORT, PRODUCT, 1)[""]
+    assert sample.records
+    assert all(record.took_ms > 0 for record in sample.records)
+
+
+def test_server_sheds_and_refuses_connections_at_its_bounds() -> None:
+    """Guards against fakes without limits, against which every policy looks good."""
+    world = World(DAKAR, 1, lambda now: 1.0)
+    world.start()
+    world.clock.run_until(WARM_UP_MS)
+    for server in world.servers_by_id.values():
+        server.slowdown = 1_000.0
+        assert server.open_connections <= server.shape.connections
+    world.clock.run_until(2 * WARM_UP_MS)
+    assert world.counters["shed"] > 0
+    assert all(len(item.queue) <= 5 * item.shape.slots for item in world.servers_by_id.values())
+
+
+def test_quantile_is_a_value_that_occurred() -> None:
+    """Guards against a p99 that is off by one rank."""
+    ordered = [float(value) for value in range(1, 101)]
+    assert quantile(ordered, 0.99) == 99.0
+    assert quantile(ordered, 1.0) == 100.0
+    assert quantile([7.0], 0.5) == 7.0
