Test the connection limit of the fake servers with a policy that reaches it

Ruled out: a lower limit in the test, because it would not be the shape of the deployment. Change: the test runs the random baseline and also demands refused connections. Before: the mutant passed 5 of 5 tests. After: without the limit, and without the queue bound, the test fails; unchanged it passes. Conclusion: both bounds of the fakes are held by a test.

--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -4,7 +4,7 @@
 
 from bench.deployments import DAKAR
 from bench.measure import run_once
-from bench.policies import ORACLE, PRODUCT, Policy
+from bench.policies import ORACLE, PRODUCT, RANDOM, Policy
 from bench.report import figures, quantile
 from bench.scenarios import SLOWED, WARM_UP_MS, Scenario
 from bench.world import World
@@ -43,14 +43,17 @@
 def test_server_sheds_and_refuses_connections_at_its_bounds() -> None:
     """Guards against fakes without limits, against which every policy looks good."""
     world = World(DAKAR, 1, lambda now: 1.0)
-    world.start()
-    world.clock.run_until(WARM_UP_MS)
-    for server in world.servers_by_id.values():
-        server.slowdown = 1_000.0
-        assert server.open_connections <= server.shape.connections
-    world.clock.run_until(2 * WARM_UP_MS)
+    servers = world.servers_by_id.values()
+    with RANDOM.applied(world):
+        world.start()
+        world.clock.run_until(WARM_UP_MS)
+        for server in servers:
+            server.slowdown = 1_000.0
+        world.clock.run_until(2 * WARM_UP_MS)
     assert world.counters["shed"] > 0
-    assert all(len(item.queue) <= 5 * item.shape.slots for item in world.servers_by_id.values())
+    assert world.total("failed.unsent") > 0
+    assert all(item.open_connections <= item.shape.connections for item in servers)
+    assert all(len(item.queue) <= 5 * item.shape.slots for item in servers)
 
 
 def test_quantile_is_a_value_that_occurred() -> None:
