Choose servers by latency at two horizons, eject outliers and probe them

Cause: a server without answers had an expected latency of 0 and drew every call; a slowed server was judged by an average that its own cancelled calls never reached. Ruled out: one average, because a weight that follows a change in a few calls ranks equal servers by noise; ejection by a fixed latency, because it could empty a service. Change: two averages, lower bounds from outstanding and cancelled calls, ejection relative to the service's median with return by probes, slow start, load reports with a weight that ends after 1 s, two random choices for services of more than 4 servers.

--- a/tests/reducing.py
+++ b/tests/reducing.py
@@ -91,9 +91,10 @@
         self.effects = [effect for effect in self.effects if not isinstance(effect, kind)]
         return found
 
-    def start(self, version: int = 1, services: int = 2, **front: Any) -> str:
+    def start(self, version: int = 1, services: int = 2, servers: int = 3, **front: Any) -> str:
         """Put a note in force, with all servers up and serving one snapshot."""
-        self.send(events.NoteSeen(self.at, "platform", first_note(services=services, **front)))
+        note = first_note(services=services, servers=servers, **front)
+        self.send(events.NoteSeen(self.at, "platform", note))
         shards = shard_map(services)
         name = snapshot(version, shards)
         for server_id in list(self.state.servers_by_id):
--- /dev/null
+++ b/tests/test_outliers.py
@@ -0,0 +1,61 @@
+"""Tests of the ejection of servers and their return."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.test_routing import SERVICE, chosen, started
+from turmerictiller.outliers import FAILURES_TO_EJECT
+from turmerictiller.routing import choose_server, observe_latency
+
+
+@given(st.lists(st.sampled_from(["slow", "failing", "both"]), min_size=3, max_size=3))
+def test_ejection_never_empties_a_service(faults: list[str]) -> None:
+    """Guards against a service that is given up while its servers still answer."""
+    harness, servers = started()
+    for server, fault in zip(servers, faults, strict=True):
+        server.fast_ms = 90.0 if fault in ("slow", "both") else 10.0
+        server.failures_in_row = FAILURES_TO_EJECT if fault in ("failing", "both") else 0
+    assert choose_server(harness.state, SERVICE, None) is not None
+    assert all(server.ejected for server in servers)
+    assert choose_server(harness.state, SERVICE, None) is not None
+
+
+def test_failing_server_is_ejected_although_it_is_fast() -> None:
+    """Guards against a server that fails at once and so looks like the best choice."""
+    harness, servers = started()
+    servers[0].fast_ms = servers[0].slow_ms = 1.0
+    servers[0].failures_in_row = FAILURES_TO_EJECT
+    assert chosen(harness) != servers[0].id
+
+
+def test_ejected_server_returns_after_one_good_probe() -> None:
+    """Guards against a server that is never used again after a short slowdown."""
+    harness, servers = started()
+    servers[0].fast_ms = 90.0
+    assert chosen(harness) != servers[0].id
+    assert servers[0].ejected
+    harness.advance(250)
+    assert chosen(harness) == servers[0].id
+    assert chosen(harness) != servers[0].id
+    observe_latency(harness.state, servers[0], 11.0)
+    assert not servers[0].ejected
+    assert servers[0].fast_ms == 11.0
+
+
+def test_probe_that_is_still_slow_keeps_the_server_out_for_longer() -> None:
+    """Guards against probes at a fixed high rate while a slowdown lasts."""
+    harness, servers = started()
+    servers[0].fast_ms = 90.0
+    chosen(harness)
+    probed_at = []
+    for _ in range(200):
+        harness.advance(10)
+        if chosen(harness) == servers[0].id:
+            probed_at.append(harness.at)
+            observe_latency(harness.state, servers[0], 100.0)
+    assert servers[0].ejected
+    gaps = [later - earlier for earlier, later in zip(probed_at, probed_at[1:], strict=False)]
+    assert gaps == sorted(gaps)
+    assert gaps[-1] > gaps[0]
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,100 @@
+"""Tests of the choice of a server."""
+
+from __future__ import annotations
+
+from tests.reducing import Harness
+from turmerictiller.routing import (
+    choose_server,
+    expected_ms,
+    latency_ms,
+    observe_cancelled,
+    observe_latency,
+)
+from turmerictiller.state import ServerState
+
+SERVICE = "jobs-0"
+
+
+def started(servers: int = 3) -> tuple[Harness, list[ServerState]]:
+    """Return an instance whose servers of one service have each answered 20 calls in 10 ms."""
+    harness = Harness()
+    harness.start(services=1, servers=servers)
+    states = [harness.state.servers_by_id[f"{SERVICE}-s{n}"] for n in range(servers)]
+    for server in states:
+        for _ in range(20):
+            observe_latency(harness.state, server, 10.0)
+    return harness, states
+
+
+def chosen(harness: Harness) -> str:
+    """Return the server that the next call would go to."""
+    server = choose_server(harness.state, SERVICE, None)
+    assert server is not None
+    return server.id
+
+
+def test_stalled_server_is_avoided_before_it_answers() -> None:
+    """Guards against calls to a stalled server whose past answers were the fastest."""
+    harness, servers = started()
+    for _ in range(20):
+        observe_latency(harness.state, servers[0], 6.0)
+    assert chosen(harness) == servers[0].id
+    servers[0].attempt_ids[900] = harness.state.now
+    harness.advance(200)
+    # The other servers have as many calls outstanding, but none of them is old.
+    for server in servers[1:]:
+        server.attempt_ids[901] = harness.state.now
+    assert expected_ms(harness.state, servers[0]) > 200
+    assert chosen(harness) != servers[0].id
+
+
+def test_server_without_answers_does_not_draw_all_calls() -> None:
+    """Guards against a herd on a server that is new and cold."""
+    harness, servers = started()
+    servers[0].samples = 0
+    servers[0].fast_ms = servers[0].slow_ms = 0.0
+    servers[0].started_at = harness.state.now
+    assert latency_ms(harness.state, servers[0]) >= 10.0
+    assert expected_ms(harness.state, servers[0]) > 2 * expected_ms(harness.state, servers[1])
+    assert chosen(harness) != servers[0].id
+    harness.advance(2_000)
+    for server in servers[1:]:
+        server.attempt_ids[901] = harness.state.now
+    assert chosen(harness) == servers[0].id
+
+
+def test_cancelled_call_raises_the_estimate_but_never_lowers_it() -> None:
+    """Guards against a slow server that looks fast because its slow calls are cancelled."""
+    _, servers = started()
+    observe_cancelled(servers[0], 100.0)
+    assert servers[0].fast_ms > 50
+    observe_cancelled(servers[1], 1.0)
+    assert servers[1].fast_ms == 10.0
+
+
+def test_estimate_follows_a_change_within_a_few_calls() -> None:
+    """Guards against a long average that hides a change for seconds."""
+    harness, servers = started()
+    observe_latency(harness.state, servers[0], 12.0)
+    assert latency_ms(harness.state, servers[0]) == servers[0].slow_ms
+    for _ in range(3):
+        observe_latency(harness.state, servers[0], 60.0)
+    assert latency_ms(harness.state, servers[0]) > 40
+
+
+def test_old_load_report_has_no_weight() -> None:
+    """Guards against avoiding a server because of what was true a second ago."""
+    harness, servers = started()
+    servers[0].reported_load = 1.0
+    servers[0].reported_load_at = harness.state.now
+    idle = expected_ms(harness.state, servers[1])
+    assert expected_ms(harness.state, servers[0]) > idle
+    harness.advance(1_500)
+    assert expected_ms(harness.state, servers[0]) == idle
+
+
+def test_large_service_does_not_send_every_call_to_one_server() -> None:
+    """Guards against instances that all pick the same best server of a large set."""
+    harness, servers = started(servers=9)
+    observe_latency(harness.state, servers[0], 9.0)
+    assert len({chosen(harness) for _ in range(50)}) > 3
--- a/turmerictiller/attempts.py
+++ b/turmerictiller/attempts.py
@@ -5,12 +5,23 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller.effects import CancelAttempt, SendSearch
-from turmerictiller.routing import choose_server, observe_latency
+from turmerictiller.events import FailureKind
+from turmerictiller.routing import choose_server, observe_cancelled, observe_latency
 from turmerictiller.state import Attempt, Search, ServicePart, State
 
 if TYPE_CHECKING:
     from turmerictiller.events import AttemptAnswered, AttemptFailed
 
+SERVER_FAILURES = frozenset(
+    {
+        FailureKind.UNSENT,
+        FailureKind.REJECTED,
+        FailureKind.LOST,
+        FailureKind.TIMED_OUT,
+        FailureKind.BAD_ANSWER,
+    }
+)
+
 
 def start_attempt(state: State, search: Search, part: ServicePart, is_hedge: bool = False) -> bool:
     """Send a part of a search to a server; return whether one had room."""
@@ -71,9 +82,14 @@
 def cancel_attempts(state: State, part: ServicePart) -> None:
     """Cancel the attempts of a part that are still running."""
     for attempt_id in part.attempt_ids:
-        if attempt_id in state.attempts_by_id:
-            close_attempt(state, attempt_id)
-            state.out.append(CancelAttempt(attempt_id))
+        attempt = state.attempts_by_id.get(attempt_id)
+        if attempt is None:
+            continue
+        close_attempt(state, attempt_id)
+        state.out.append(CancelAttempt(attempt_id))
+        server = state.servers_by_id.get(attempt.server_id)
+        if server is not None:
+            observe_cancelled(server, state.now - attempt.sent_at)
     part.attempt_ids.clear()
 
 
@@ -82,7 +98,7 @@
     server = state.servers_by_id.get(attempt.server_id)
     if server is None:
         return
-    observe_latency(server, state.now - attempt.sent_at)
+    observe_latency(state, server, state.now - attempt.sent_at)
     server.failures_in_row = 0
     server.last_answered_sent_at = max(server.last_answered_sent_at, attempt.sent_at)
 
@@ -91,7 +107,7 @@
     """Learn from an attempt that failed."""
     state.counters[f"attempts.failed.{event.kind.value}"] += 1
     server = state.servers_by_id.get(attempt.server_id)
-    if server is not None:
+    if server is not None and event.kind in SERVER_FAILURES:
         server.failures_in_row += 1
 
 
--- a/turmerictiller/membership.py
+++ b/turmerictiller/membership.py
@@ -61,6 +61,13 @@
         server.reachable = False
 
 
+def restart_estimates(state: State, server: ServerState) -> None:
+    """Forget the latency and the failures of a server that has restarted."""
+    server.samples = server.failures_in_row = 0
+    server.ejected = False
+    server.started_at = state.now
+
+
 def observe_status(state: State, server_id: str, status: UpstreamStatus | None) -> None:
     """Take in what a server says of itself."""
     server = state.servers_by_id.get(server_id)
@@ -69,6 +76,8 @@
     server.reachable = True
     server.status_at = state.now
     if server.incarnation != status.incarnation:
+        if server.incarnation:
+            restart_estimates(state, server)
         server.incarnation = status.incarnation
         server.draining = False
     server.draining = server.draining or status.draining
--- a/turmerictiller/routing.py
+++ b/turmerictiller/routing.py
@@ -5,14 +5,21 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller.limits import outstanding_limit
+from turmerictiller.outliers import in_use, readmit, review, take_probe
 
 if TYPE_CHECKING:
-    from collections.abc import Container
+    from collections.abc import Container, Sequence
 
     from turmerictiller.state import ServerState, State
 
-FAST_WEIGHT = 0.3
-SLOW_WEIGHT = 0.02
+FAST_WEIGHT = 0.5
+SLOW_WEIGHT = 0.05
+HORIZON_RATIO = 2.0
+FULL_SCAN_SERVERS = 4
+SLOW_START_MS = 1_000.0
+SLOW_START_FACTOR = 3.0
+REPORT_WEIGHT = 0.25
+REPORT_LIFE_MS = 1_000.0
 
 
 def choose_server(
@@ -26,7 +33,18 @@
     ]
     if not candidates:
         return None
-    return min(candidates, key=lambda server: (expected_ms(state, server), state.rng.random()))
+    for server in candidates:
+        review(state, server)
+    if not exclude and (probe := take_probe(state, candidates)) is not None:
+        return probe
+    chosen = _two_of(state, in_use(candidates))
+    return min(chosen, key=lambda server: (expected_ms(state, server), state.rng.random()))
+
+
+def _two_of(state: State, servers: Sequence[ServerState]) -> Sequence[ServerState]:
+    if len(servers) <= FULL_SCAN_SERVERS:
+        return servers
+    return state.rng.sample(servers, 2)
 
 
 def servers_with(state: State, service: str, snapshot: str | None) -> list[ServerState]:
@@ -46,16 +64,48 @@
 
 def expected_ms(state: State, server: ServerState) -> float:
     """Return the expected latency of one more call to the server."""
-    oldest = min(server.attempt_ids.values(), default=state.now)
-    latency = max(server.fast_ms, state.now - oldest)
-    return latency * (1 + len(server.attempt_ids))
+    oldest_at = next(iter(server.attempt_ids.values()), state.now)
+    latency = max(latency_ms(state, server), state.now - oldest_at)
+    load = 1 + len(server.attempt_ids) + _reported_load(state, server)
+    return latency * load * _slow_start(state, server)
 
 
-def observe_latency(server: ServerState, latency_ms: float) -> None:
-    """Take one answered call into the estimates of a server."""
+def latency_ms(state: State, server: ServerState) -> float:
+    """Return the latency of answered calls: over many, or over the last few if it has changed."""
     if server.samples == 0:
-        server.fast_ms = server.slow_ms = latency_ms
-    else:
-        server.fast_ms += FAST_WEIGHT * (latency_ms - server.fast_ms)
-        server.slow_ms += SLOW_WEIGHT * (latency_ms - server.slow_ms)
+        return state.services_by_name[server.service].times.quantile(0.5)
+    low, high = server.slow_ms / HORIZON_RATIO, server.slow_ms * HORIZON_RATIO
+    return server.slow_ms if low <= server.fast_ms <= high else server.fast_ms
+
+
+def _reported_load(state: State, server: ServerState) -> float:
+    age_ms = state.now - server.reported_load_at
+    freshness = max(0.0, 1 - age_ms / REPORT_LIFE_MS)
+    return REPORT_WEIGHT * freshness * min(1.0, max(0.0, server.reported_load))
+
+
+def _slow_start(state: State, server: ServerState) -> float:
+    left = max(0.0, 1 - (state.now - server.started_at) / SLOW_START_MS)
+    return 1 + (SLOW_START_FACTOR - 1) * left
+
+
+def observe_latency(state: State, server: ServerState, latency_ms: float) -> None:
+    """Take one answered call into the estimates of a server and its service."""
+    _average(server, latency_ms)
     server.samples += 1
+    state.services_by_name[server.service].times.add(latency_ms)
+    readmit(state, server, latency_ms)
+
+
+def observe_cancelled(server: ServerState, age_ms: float) -> None:
+    """Take a call that was cancelled unanswered as a lower bound of the server's latency."""
+    if age_ms > server.fast_ms:
+        _average(server, age_ms)
+
+
+def _average(server: ServerState, latency_ms: float) -> None:
+    if server.samples == 0:
+        server.fast_ms = server.slow_ms = latency_ms
+        return
+    server.fast_ms += FAST_WEIGHT * (latency_ms - server.fast_ms)
+    server.slow_ms += SLOW_WEIGHT * (latency_ms - server.slow_ms)
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -9,6 +9,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from turmerictiller.util.histogram import RecentTimes
+
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
     from turmerictiller.config import Settings
@@ -114,6 +116,9 @@
 
     :param fast_ms: moving average of latency that follows changes within a few calls.
     :param slow_ms: moving average of latency over many calls.
+    :param attempt_ids: time of sending by outstanding attempt, oldest first.
+    :param ejected: whether it gets only probes, the next one at ``ejected_until``.
+    :param started_at: when another incarnation of the server was first seen.
     """
 
     id: str
@@ -132,7 +137,10 @@
     slow_ms: float = 0.0
     samples: int = 0
     failures_in_row: int = 0
+    ejected: bool = False
     ejected_until: Millis = float("-inf")
+    probe_ms: float = 0.0
+    started_at: Millis = float("-inf")
     limit: float = 0.0
     last_answered_sent_at: Millis = float("-inf")
 
@@ -147,6 +155,7 @@
     name: str
     server_ids: tuple[str, ...]
     waiting: deque[int] = field(default_factory=deque)
+    times: RecentTimes = field(default_factory=RecentTimes)
     hedge_tokens: float = 0.0
     retry_tokens: float = 0.0
 
