Hedge late parts of searches within a budget

Cause: a search waits for its slowest part; one slowed server of three held up every search that reached it, and probes of ejected servers paid with their own answer time. Change: a part is hedged after the 99% quantile of its service if it is among the last ones; tokens per service grow by 3% of primary calls, the last three are kept for calls older than 4 medians; probes are paid for beforehand and hedged early; another failure domain is preferred; the loser is cancelled and its age counts as a lower bound of the server's latency.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -21,7 +21,7 @@
     from bench.world import World
     from turmerictiller.state import Search, ServerState, ServicePart, State
 
-    Choose = Callable[[State, str, str | None, Container[str]], ServerState | None]
+    Choose = Callable[[State, str, str | None, Container[str], str], ServerState | None]
 
 FIXED_HEDGE_MS = 40.0
 UNBOUNDED = 1_000_000
@@ -44,6 +44,8 @@
     def applied(self, world: World) -> Iterator[None]:
         """Replace the functions while the context is open."""
         with ExitStack() as stack:
+            if self is not PRODUCT:
+                stack.enter_context(patch("turmerictiller.searches.plan_hedge", _plan_nothing))
             for path, function in self.replacements(world).items():
                 stack.enter_context(patch(path, function))
             if self.fixed_hedge_ms is not None:
@@ -61,14 +63,14 @@
 
 
 def _random_server(
-    state: State, service: str, snapshot: str | None, exclude: Container[str] = ()
+    state: State, service: str, snapshot: str | None, exclude: Container[str] = (), avoid: str = ""
 ) -> ServerState | None:
     candidates = _candidates(state, service, snapshot, exclude)
     return state.rng.choice(candidates) if candidates else None
 
 
 def _least_outstanding(
-    state: State, service: str, snapshot: str | None, exclude: Container[str] = ()
+    state: State, service: str, snapshot: str | None, exclude: Container[str] = (), avoid: str = ""
 ) -> ServerState | None:
     candidates = _candidates(state, service, snapshot, exclude)
     return min(
@@ -78,7 +80,11 @@
 
 def _oracle(world: World) -> Choose:
     def choose(
-        state: State, service: str, snapshot: str | None, exclude: Container[str] = ()
+        state: State,
+        service: str,
+        snapshot: str | None,
+        exclude: Container[str] = (),
+        avoid: str = "",
     ) -> ServerState | None:
         domain = state.settings.failure_domain
         candidates = [
@@ -113,8 +119,15 @@
         start_attempt(state, search, part, is_hedge=True)
 
 
+def _plan_nothing(state: State, search: Search, part: ServicePart) -> None:
+    return None
+
+
 def _choose_with(choose: Choose) -> dict[str, Any]:
-    return {"turmerictiller.attempts.choose_server": choose}
+    return {
+        "turmerictiller.attempts.choose_server": choose,
+        "turmerictiller.attempts.choose_probe": lambda state, service, snapshot: None,
+    }
 
 
 PRODUCT = Policy("product", lambda world: {})
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,6 +4,7 @@
 
 from tests.reducing import Harness
 from turmerictiller.routing import (
+    choose_probe,
     choose_server,
     expected_ms,
     latency_ms,
@@ -20,6 +21,7 @@
     harness = Harness()
     harness.start(services=1, servers=servers)
     states = [harness.state.servers_by_id[f"{SERVICE}-s{n}"] for n in range(servers)]
+    harness.state.services_by_name[SERVICE].hedge_tokens = 10.0
     for server in states:
         for _ in range(20):
             observe_latency(harness.state, server, 10.0)
@@ -28,7 +30,8 @@
 
 def chosen(harness: Harness) -> str:
     """Return the server that the next call would go to."""
-    server = choose_server(harness.state, SERVICE, None)
+    probe = choose_probe(harness.state, SERVICE, None)
+    server = probe or choose_server(harness.state, SERVICE, None)
     assert server is not None
     return server.id
 
--- a/turmerictiller/attempts.py
+++ b/turmerictiller/attempts.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from turmerictiller.budgets import on_primary_call
 from turmerictiller.effects import CancelAttempt, SendSearch
 from turmerictiller.events import FailureKind
-from turmerictiller.routing import choose_server, observe_cancelled, observe_latency
-from turmerictiller.state import Attempt, Search, ServicePart, State
+from turmerictiller.routing import choose_probe, choose_server, observe_cancelled, observe_latency
+from turmerictiller.state import Attempt, Search, ServerState, ServicePart, State
 
 if TYPE_CHECKING:
     from turmerictiller.events import AttemptAnswered, AttemptFailed
@@ -25,7 +26,7 @@
 
 def start_attempt(state: State, search: Search, part: ServicePart, is_hedge: bool = False) -> bool:
     """Send a part of a search to a server; return whether one had room."""
-    server = choose_server(state, part.service, search.snapshot, part.tried_server_ids)
+    server = _choose(state, search, part, is_hedge)
     if server is None:
         return False
     budget_ms = search.deadline_at - state.now - state.settings.return_margin_ms
@@ -34,6 +35,8 @@
     attempt.fingerprint = search.fingerprint
     part.attempt_ids.append(attempt.id)
     part.tried_server_ids.add(server.id)
+    if not is_hedge:
+        on_primary_call(state, part.service)
     state.out.append(
         SendSearch(
             attempt_id=attempt.id,
@@ -52,6 +55,22 @@
     return True
 
 
+def _choose(state: State, search: Search, part: ServicePart, is_hedge: bool) -> ServerState | None:
+    if not part.tried_server_ids:
+        probe = choose_probe(state, part.service, search.snapshot)
+        part.is_probe = probe is not None
+        if probe is not None:
+            return probe
+    avoid_domain = _domain_of_part(state, part) if is_hedge else ""
+    return choose_server(state, part.service, search.snapshot, part.tried_server_ids, avoid_domain)
+
+
+def _domain_of_part(state: State, part: ServicePart) -> str:
+    attempt = state.attempts_by_id.get(part.attempt_ids[-1]) if part.attempt_ids else None
+    server = state.servers_by_id.get(attempt.server_id) if attempt else None
+    return server.domain if server else ""
+
+
 def new_attempt(state: State, call_id: int, service: str, server_id: str) -> Attempt:
     """Register a call to a server."""
     attempt = Attempt(state.next_attempt_id, call_id, service, server_id, state.now)
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -55,7 +55,7 @@
     ticket_lifetime_ms: float = Field(600_000, description="Life of a ticket.", gt=0)
     run_deadline_ms: float = Field(2_000, description="Default deadline of a run request.", gt=0)
     return_margin_ms: float = Field(2, description="Time kept back for the way back.", ge=0)
-    hedge_share: float = Field(0.02, description="Hedges per primary call.", ge=0, le=0.2)
+    hedge_share: float = Field(0.03, description="Hedges per primary call.", ge=0, le=0.2)
     retry_share: float = Field(0.05, description="Retries per primary call.", ge=0, le=0.5)
     connection_margin: float = Field(
         0.9, description="Share of a server's connections that all instances use.", gt=0, le=1
--- a/turmerictiller/outliers.py
+++ b/turmerictiller/outliers.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from turmerictiller.budgets import take_hedge_token
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -42,9 +44,14 @@
 
 
 def take_probe(state: State, servers: Sequence[ServerState]) -> ServerState | None:
-    """Return an ejected server that is due for one real search, and set its next time."""
+    """Return an ejected server that is due for one real search, and set its next time.
+
+    The hedge of that search is paid for at once, so that it is sure to be sent.
+    """
     for server in servers:
-        if server.ejected and state.now >= server.ejected_until and not server.attempt_ids:
+        if not server.ejected or state.now < server.ejected_until or server.attempt_ids:
+            continue
+        if take_hedge_token(state, server.service):
             server.probe_ms = min(2 * server.probe_ms, MAX_PROBE_MS)
             server.ejected_until = state.now + server.probe_ms
             state.counters["servers.probed"] += 1
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller import events, membership, notes_in_force, searches, snapshot
+from turmerictiller import events, hedging, membership, notes_in_force, searches, snapshot
 from turmerictiller.effects import WakeAt
 from turmerictiller.state import TimerKind
 
@@ -27,6 +27,7 @@
 
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
+    TimerKind.HEDGE: hedging.on_hedge_due,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
 }
 
--- a/turmerictiller/routing.py
+++ b/turmerictiller/routing.py
@@ -18,14 +18,22 @@
 FULL_SCAN_SERVERS = 4
 SLOW_START_MS = 1_000.0
 SLOW_START_FACTOR = 3.0
+SAME_DOMAIN_FACTOR = 1.5
 REPORT_WEIGHT = 0.25
 REPORT_LIFE_MS = 1_000.0
 
 
 def choose_server(
-    state: State, service: str, snapshot: str | None, exclude: Container[str] = ()
+    state: State,
+    service: str,
+    snapshot: str | None,
+    exclude: Container[str] = (),
+    avoid_domain: str = "",
 ) -> ServerState | None:
-    """Return the server with the lowest expected latency, or ``None`` if none has room."""
+    """Return the server with the lowest expected latency, or ``None`` if none has room.
+
+    :param avoid_domain: failure domain that is chosen only if the others are clearly slower.
+    """
     candidates = [
         server
         for server in servers_with(state, service, snapshot)
@@ -35,10 +43,18 @@
         return None
     for server in candidates:
         review(state, server)
-    if not exclude and (probe := take_probe(state, candidates)) is not None:
-        return probe
     chosen = _two_of(state, in_use(candidates))
-    return min(chosen, key=lambda server: (expected_ms(state, server), state.rng.random()))
+
+    def cost(server: ServerState) -> tuple[float, float]:
+        penalty = SAME_DOMAIN_FACTOR if server.domain == avoid_domain else 1.0
+        return penalty * expected_ms(state, server), state.rng.random()
+
+    return min(chosen, key=cost)
+
+
+def choose_probe(state: State, service: str, snapshot: str | None) -> ServerState | None:
+    """Return an ejected server that this call shall probe, or ``None``."""
+    return take_probe(state, servers_with(state, service, snapshot))
 
 
 def _two_of(state: State, servers: Sequence[ServerState]) -> Sequence[ServerState]:
--- a/turmerictiller/searches.py
+++ b/turmerictiller/searches.py
@@ -17,6 +17,7 @@
 from turmerictiller.errors import CursorError, Ran, Refusal, RefusalType
 from turmerictiller.events import FailureKind
 from turmerictiller.fronts import Priority
+from turmerictiller.hedging import plan_hedge
 from turmerictiller.membership import observe_status
 from turmerictiller.merge import Cursor, decode_cursor, encode_cursor, hits_after, rank, top_k
 from turmerictiller.routing import servers_with
@@ -146,6 +147,7 @@
 
 def _start_or_resolve(state: State, search: Search, part: ServicePart, reason: str) -> None:
     if start_attempt(state, search, part):
+        plan_hedge(state, search, part)
         return
     if not servers_with(state, part.service, search.snapshot):
         reason = "unreachable"
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -81,6 +81,7 @@
     shards: tuple[str, ...]
     attempt_ids: list[int] = field(default_factory=list)
     tried_server_ids: set[str] = field(default_factory=set)
+    is_probe: bool = False
     merged_shards: frozenset[str] = frozenset()
     resolved: bool = False
     missing_reason: str = "timed_out"
