Limit, queue and refuse work without coordination

Cause: above capacity every part without a free server was given up at once, and failed calls were retried without a budget at every other server.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -92,6 +92,10 @@
         ahead = max(0, self.assigned + 1 - self.shape.slots)
         return self.shape.service_ms * self.factor() * (1 + ahead / self.shape.slots)
 
+    def has_room(self) -> bool:
+        """Return whether one more call would be neither refused nor shed."""
+        return self.up and self.assigned < (1 + QUEUE_PER_SLOT) * self.shape.slots
+
     def factor(self) -> float:
         """Return the factor on the service time of a call that starts now."""
         cold = max(0.0, self.up_at + COLD_MS - self.clock.now) / COLD_MS
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -44,8 +44,6 @@
     def applied(self, world: World) -> Iterator[None]:
         """Replace the functions while the context is open."""
         with ExitStack() as stack:
-            if self is not PRODUCT:
-                stack.enter_context(patch("turmerictiller.searches.plan_hedge", _plan_nothing))
             for path, function in self.replacements(world).items():
                 stack.enter_context(patch(path, function))
             if self.fixed_hedge_ms is not None:
@@ -90,7 +88,8 @@
         candidates = [
             item
             for item in _candidates(state, service, snapshot, exclude)
-            if world.servers_by_id[item.id].up and not world.network.is_cut(domain, item.domain)
+            if world.servers_by_id[item.id].has_room()
+            and not world.network.is_cut(domain, item.domain)
         ]
         return min(
             candidates,
@@ -119,22 +118,29 @@
         start_attempt(state, search, part, is_hedge=True)
 
 
-def _plan_nothing(state: State, search: Search, part: ServicePart) -> None:
-    return None
-
-
 def _choose_with(choose: Choose) -> dict[str, Any]:
     return {
         "turmerictiller.attempts.choose_server": choose,
         "turmerictiller.attempts.choose_probe": lambda state, service, snapshot: None,
+        "turmerictiller.searches.plan_hedge": lambda state, search, part: None,
+    }
+
+
+def _without_limits(choose: Choose) -> dict[str, Any]:
+    return {
+        **_choose_with(choose),
+        "turmerictiller.searches.refuse_early": lambda state, search: None,
+        "turmerictiller.searches.may_retry": lambda state, part, kind: True,
     }
 
 
 PRODUCT = Policy("product", lambda world: {})
-RANDOM = Policy("random", lambda world: _choose_with(_random_server), {"max_searches": UNBOUNDED})
+RANDOM = Policy(
+    "random", lambda world: _without_limits(_random_server), {"max_searches": UNBOUNDED}
+)
 LEAST = Policy(
     "least+hedge",
-    lambda world: _choose_with(_least_outstanding),
+    lambda world: _without_limits(_least_outstanding),
     {"max_searches": UNBOUNDED},
     FIXED_HEDGE_MS,
 )
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,94 @@
+"""Tests of the limit on outstanding calls."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.reducing import Harness
+from turmerictiller import effects, events
+from turmerictiller.events import FailureKind
+from turmerictiller.limits import connection_share, on_accepted, on_shed, outstanding_limit
+from turmerictiller.state import Attempt
+
+
+@given(st.lists(st.booleans(), max_size=60), st.integers(0, 40))
+def test_limit_stays_between_one_and_the_share(sheds: list[bool], peers: int) -> None:
+    """Guards against a server that gets no call ever again, or more than its share."""
+    harness = Harness(peers=[f"127.0.0.1:{6_000 + number}" for number in range(peers)])
+    harness.start(services=1)
+    server = harness.state.servers_by_id["jobs-0-s0"]
+    share = connection_share(harness.state, server)
+    assert 1 <= share <= max(1, 27 // (1 + peers))
+    for is_shed in sheds:
+        harness.advance(10)
+        if is_shed:
+            on_shed(harness.state, server, Attempt(1, 1, "jobs-0", server.id, harness.at))
+        else:
+            on_accepted(harness.state, server)
+        assert 1 <= outstanding_limit(harness.state, server) <= share
+
+
+def test_sheds_of_calls_sent_together_lower_the_limit_once() -> None:
+    """Guards against a limit of one after a single moment of overload."""
+    harness = Harness()
+    harness.start(services=1)
+    server = harness.state.servers_by_id["jobs-0-s0"]
+    before = outstanding_limit(harness.state, server)
+    harness.advance(10)
+    for _ in range(5):
+        on_shed(harness.state, server, Attempt(1, 1, "jobs-0", server.id, harness.at - 5))
+    assert outstanding_limit(harness.state, server) == before // 2
+    for _ in range(10_000):
+        on_accepted(harness.state, server)
+    assert outstanding_limit(harness.state, server) == before
+
+
+def test_shed_call_lowers_the_limit_of_its_server_only() -> None:
+    """Guards against sheds that change nothing, or that punish servers with room."""
+    harness = Harness()
+    harness.start(services=1)
+    (attempt,) = harness.search(1)
+    harness.advance(5)
+    harness.send(events.AttemptFailed(harness.at, attempt.attempt_id, FailureKind.SHED))
+    (retry,) = harness.take(effects.SendSearch)
+    limits = {
+        server.id: outstanding_limit(harness.state, server)
+        for server in harness.state.servers_by_id.values()
+    }
+    assert limits[attempt.server_id] < limits[retry.server_id]
+    assert not harness.state.servers_by_id[attempt.server_id].failures_in_row
+
+
+def test_limit_recovers_after_a_long_overload_and_falls_at_once_after_a_long_calm() -> None:
+    """Guards against a limit that drifts beyond its bounds and then answers late."""
+    harness = Harness()
+    harness.start(services=1)
+    server = harness.state.servers_by_id["jobs-0-s0"]
+    share = connection_share(harness.state, server)
+    for _ in range(50):
+        harness.advance(10)
+        on_shed(harness.state, server, Attempt(1, 1, "jobs-0", server.id, harness.at))
+    assert outstanding_limit(harness.state, server) == 1
+    on_accepted(harness.state, server)
+    assert outstanding_limit(harness.state, server) == 1
+    for _ in range(20):
+        on_accepted(harness.state, server)
+    assert outstanding_limit(harness.state, server) >= 2
+    for _ in range(20_000):
+        on_accepted(harness.state, server)
+    harness.advance(10)
+    on_shed(harness.state, server, Attempt(1, 1, "jobs-0", server.id, harness.at))
+    assert outstanding_limit(harness.state, server) == share // 2
+
+
+def test_lowered_limit_follows_a_share_that_shrinks() -> None:
+    """Guards against a limit from a time when there were fewer instances."""
+    harness = Harness()
+    harness.start(services=1)
+    server = harness.state.servers_by_id["jobs-0-s0"]
+    on_shed(harness.state, server, Attempt(1, 1, "jobs-0", server.id, harness.at))
+    assert outstanding_limit(harness.state, server) > 5
+    peers = tuple(f"127.0.0.1:{6_000 + number}" for number in range(20))
+    harness.state.settings = harness.settings.model_copy(update={"peers": peers})
+    assert outstanding_limit(harness.state, server) == 1
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,70 @@
+"""Tests of retries."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.reducing import Harness
+from turmerictiller import effects, events
+from turmerictiller.errors import RefusalType
+from turmerictiller.events import FailureKind
+
+
+def fail(harness: Harness, attempt: effects.SendSearch, kind: FailureKind) -> None:
+    harness.send(events.AttemptFailed(harness.at, attempt.attempt_id, kind))
+
+
+def test_retries_of_work_that_may_have_run_are_budgeted() -> None:
+    """Guards against retries that multiply the load while every call fails."""
+    harness = Harness()
+    harness.start(services=1)
+    sent = 0
+    for call_id in range(100):
+        attempts = harness.search(call_id)
+        while attempts:
+            sent += len(attempts)
+            fail(harness, attempts[0], FailureKind.REJECTED)
+            attempts = harness.take(effects.SendSearch)
+    assert 100 < sent <= 100 * (1 + harness.settings.retry_share) + 4
+
+
+def test_each_server_is_tried_at_most_once() -> None:
+    """Guards against a search that circles between servers that refuse it."""
+    harness = Harness()
+    harness.start(services=1)
+    servers = []
+    attempts = harness.search(1)
+    while attempts and len(servers) < 10:
+        servers.append(attempts[0].server_id)
+        fail(harness, attempts[0], FailureKind.UNSENT)
+        attempts = harness.take(effects.SendSearch)
+    assert sorted(servers) == sorted(harness.state.servers_by_id)
+    (reply,) = harness.take(effects.ReplyRefusal)
+    assert reply.refusal.type is RefusalType.COVERAGE_BELOW_FLOOR
+
+
+@pytest.mark.parametrize("kind", [FailureKind.UNSENT, FailureKind.SHED])
+def test_call_that_did_not_run_is_replaced_without_budget(kind: FailureKind) -> None:
+    """Guards against lost coverage when a server goes away and the budget is used up."""
+    harness = Harness()
+    harness.start(services=1)
+    harness.state.services_by_name["jobs-0"].retry_tokens = 0.0
+    (attempt,) = harness.search(1)
+    fail(harness, attempt, kind)
+    (retry,) = harness.take(effects.SendSearch)
+    assert retry.server_id != attempt.server_id
+
+
+def test_deadline_passed_on_shrinks_and_expired_work_is_not_sent() -> None:
+    """Guards against upstreams that work on answers that come too late."""
+    harness = Harness(return_margin_ms=5)
+    harness.start(services=1)
+    (attempt,) = harness.search(1, deadline_ms=100.0)
+    assert attempt.budget_ms == 95.0
+    harness.advance(60)
+    fail(harness, attempt, FailureKind.UNSENT)
+    (retry,) = harness.take(effects.SendSearch)
+    assert retry.budget_ms == 35.0
+    harness.advance(36)
+    fail(harness, retry, FailureKind.UNSENT)
+    assert harness.take(effects.SendSearch) == []
--- a/turmerictiller/attempts.py
+++ b/turmerictiller/attempts.py
@@ -7,6 +7,7 @@
 from turmerictiller.budgets import on_primary_call
 from turmerictiller.effects import CancelAttempt, SendSearch
 from turmerictiller.events import FailureKind
+from turmerictiller.limits import on_accepted, on_shed
 from turmerictiller.routing import choose_probe, choose_server, observe_cancelled, observe_latency
 from turmerictiller.state import Attempt, Search, ServerState, ServicePart, State
 
@@ -26,10 +27,11 @@
 
 def start_attempt(state: State, search: Search, part: ServicePart, is_hedge: bool = False) -> bool:
     """Send a part of a search to a server; return whether one had room."""
+    if budget_of(state, search) <= 0:
+        return False
     server = _choose(state, search, part, is_hedge)
     if server is None:
         return False
-    budget_ms = search.deadline_at - state.now - state.settings.return_margin_ms
     attempt = new_attempt(state, search.call_id, part.service, server.id)
     attempt.is_hedge = is_hedge
     attempt.fingerprint = search.fingerprint
@@ -48,13 +50,18 @@
             query=search.query,
             k=search.k,
             after=search.after,
-            budget_ms=budget_ms,
+            budget_ms=budget_of(state, search),
             timeout_ms=search.deadline_at - state.now,
         )
     )
     return True
 
 
+def budget_of(state: State, search: Search) -> float:
+    """Return the time within which an upstream's answer is of use, less the way back."""
+    return search.deadline_at - state.now - state.settings.return_margin_ms
+
+
 def _choose(state: State, search: Search, part: ServicePart, is_hedge: bool) -> ServerState | None:
     if not part.tried_server_ids:
         probe = choose_probe(state, part.service, search.snapshot)
@@ -95,6 +102,7 @@
     server = state.servers_by_id.get(attempt.server_id)
     if server is not None:
         server.attempt_ids.pop(attempt_id, None)
+        state.freed_services[server.service] = None
     return attempt
 
 
@@ -119,6 +127,8 @@
         return
     observe_latency(state, server, state.now - attempt.sent_at)
     server.failures_in_row = 0
+    state.services_by_name[server.service].completed_at.append(state.now)
+    on_accepted(state, server)
     server.last_answered_sent_at = max(server.last_answered_sent_at, attempt.sent_at)
 
 
@@ -126,8 +136,12 @@
     """Learn from an attempt that failed."""
     state.counters[f"attempts.failed.{event.kind.value}"] += 1
     server = state.servers_by_id.get(attempt.server_id)
-    if server is not None and event.kind in SERVER_FAILURES:
+    if server is None:
+        return
+    if event.kind in SERVER_FAILURES:
         server.failures_in_row += 1
+    if event.kind is FailureKind.SHED:
+        on_shed(state, server, attempt)
 
 
 def is_valid_answer(search: Search, part: ServicePart, event: AttemptAnswered) -> bool:
--- a/turmerictiller/budgets.py
+++ b/turmerictiller/budgets.py
@@ -14,6 +14,7 @@
     """Let the budgets of a service grow by its share of one call."""
     tokens = state.services_by_name[service]
     tokens.hedge_tokens = min(MAX_TOKENS, tokens.hedge_tokens + state.settings.hedge_share)
+    tokens.retry_tokens = min(MAX_TOKENS, tokens.retry_tokens + state.settings.retry_share)
 
 
 def take_hedge_token(state: State, service: str) -> bool:
@@ -28,3 +29,12 @@
 def refund_hedge_token(state: State, service: str) -> None:
     """Give back the charge of a hedged call that was not sent."""
     state.services_by_name[service].hedge_tokens += 1
+
+
+def take_retry_token(state: State, service: str) -> bool:
+    """Charge one retried call; return whether the budget allows it."""
+    tokens = state.services_by_name[service]
+    if tokens.retry_tokens < 1:
+        return False
+    tokens.retry_tokens -= 1
+    return True
--- a/turmerictiller/hedging.py
+++ b/turmerictiller/hedging.py
@@ -13,7 +13,7 @@
 
 HedgeKey = tuple[int, str, int]
 
-HEDGE_QUANTILE = 0.99
+HEDGE_QUANTILE = 0.993
 PROBE_QUANTILE = 0.75
 TYPICAL_QUANTILE = 0.5
 MIN_SAMPLES = 20
@@ -36,7 +36,7 @@
 
     A probe of an ejected server waits less, because the server is expected to be slow.
     """
-    times = state.services_by_name[part.service].times
+    times = state.services_by_name[part.service].calm_times
     if times.weight < MIN_SAMPLES:
         return None
     share = PROBE_QUANTILE if part.is_probe else HEDGE_QUANTILE
@@ -56,6 +56,8 @@
     if part.is_probe:
         _send_hedge(state, search, part)
         return
+    if state.services_by_name[service].waiting:
+        return
     if not _is_among_last(search) or _should_save_token(state, attempt_id):
         _check_again(state, key)
         return
@@ -75,7 +77,9 @@
     service = state.services_by_name[attempt.service]
     if service.hedge_tokens >= SCARCE_TOKENS:
         return False
-    return state.now - attempt.sent_at < SCARCE_FACTOR * service.times.quantile(TYPICAL_QUANTILE)
+    return state.now - attempt.sent_at < SCARCE_FACTOR * service.calm_times.quantile(
+        TYPICAL_QUANTILE
+    )
 
 
 def _is_among_last(search: Search) -> bool:
@@ -84,6 +88,6 @@
 
 
 def _check_again(state: State, key: HedgeKey) -> None:
-    times = state.services_by_name[key[1]].times
+    times = state.services_by_name[key[1]].calm_times
     wait_ms = RECHECK_SHARE * times.quantile(TYPICAL_QUANTILE)
     state.timers.add(state.now + wait_ms, TimerKind.HEDGE, key)
--- a/turmerictiller/limits.py
+++ b/turmerictiller/limits.py
@@ -5,7 +5,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from turmerictiller.state import ServerState, State
+    from turmerictiller.state import Attempt, ServerState, State
+
+DECREASE_FACTOR = 0.5
+INCREASE = 0.2
 
 
 def connection_share(state: State, server: ServerState) -> int:
@@ -26,4 +29,23 @@
 
 def outstanding_limit(state: State, server: ServerState) -> int:
     """Return how many calls this instance may have outstanding at a server."""
-    return connection_share(state, server)
+    return max(1, int(min(_limit(state, server), connection_share(state, server))))
+
+
+def _limit(state: State, server: ServerState) -> float:
+    return server.limit or float(connection_share(state, server))
+
+
+def on_shed(state: State, server: ServerState, attempt: Attempt) -> None:
+    """Lower the limit of a server that shed a call, once per lot of calls sent before."""
+    if attempt.sent_at < server.limit_lowered_at:
+        return
+    server.limit_lowered_at = state.now
+    server.limit = max(1.0, _limit(state, server) * DECREASE_FACTOR)
+
+
+def on_accepted(state: State, server: ServerState) -> None:
+    """Raise a lowered limit by one per as many answers as the limit allows calls."""
+    if server.limit:
+        raised = server.limit + INCREASE / server.limit
+        server.limit = min(raised, float(connection_share(state, server)))
--- a/turmerictiller/membership.py
+++ b/turmerictiller/membership.py
@@ -74,6 +74,7 @@
     if server is None or status is None:
         return
     server.reachable = True
+    state.freed_services[server.service] = None
     server.status_at = state.now
     if server.incarnation != status.incarnation:
         if server.incarnation:
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -40,6 +40,7 @@
     if handler is not None:
         handler(state, event)
         _run_due_timers(state)
+    searches.serve_waiting(state)
     _request_wake(state)
     effects, state.out = state.out, []
     return effects
--- a/turmerictiller/routing.py
+++ b/turmerictiller/routing.py
@@ -109,7 +109,10 @@
     """Take one answered call into the estimates of a server and its service."""
     _average(server, latency_ms)
     server.samples += 1
-    state.services_by_name[server.service].times.add(latency_ms)
+    service = state.services_by_name[server.service]
+    service.times.add(latency_ms)
+    if not service.waiting:
+        service.calm_times.add(latency_ms)
     readmit(state, server, latency_ms)
 
 
--- a/turmerictiller/searches.py
+++ b/turmerictiller/searches.py
@@ -5,7 +5,9 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from turmerictiller.admission import enqueue, next_waiting, refuse_early, remove_next
 from turmerictiller.attempts import (
+    budget_of,
     cancel_attempts,
     close_attempt,
     is_valid_answer,
@@ -20,6 +22,7 @@
 from turmerictiller.hedging import plan_hedge
 from turmerictiller.membership import observe_status
 from turmerictiller.merge import Cursor, decode_cursor, encode_cursor, hits_after, rank, top_k
+from turmerictiller.retries import may_retry
 from turmerictiller.routing import servers_with
 from turmerictiller.snapshot import choose_snapshot, coverage_of, shards_of
 from turmerictiller.state import Search, ServicePart, State, TimerKind
@@ -49,6 +52,10 @@
     if isinstance(started, Refusal):
         refuse(state, event.call_id, started)
         return
+    refusal = refuse_early(state, started)
+    if refusal is not None:
+        refuse(state, event.call_id, refusal)
+        return
     state.searches_by_id[started.call_id] = started
     state.counters["searches.started"] += 1
     state.timers.add(started.deadline_at, TimerKind.SEARCH_DEADLINE, started.call_id)
@@ -141,19 +148,49 @@
 
 def _scatter(state: State, search: Search) -> None:
     for part in search.parts_by_service.values():
-        _start_or_resolve(state, search, part, "no_capacity")
+        if not part.resolved:
+            _start_or_wait(state, search, part, "no_capacity")
     _finish_if_resolved(state, search)
 
 
-def _start_or_resolve(state: State, search: Search, part: ServicePart, reason: str) -> None:
-    if start_attempt(state, search, part):
-        plan_hedge(state, search, part)
-        return
-    if not servers_with(state, part.service, search.snapshot):
-        reason = "unreachable"
+def _start_or_wait(state: State, search: Search, part: ServicePart, reason: str) -> None:
     part.missing_reason = reason
-    if not part.attempt_ids:
+    if _start(state, search, part):
+        return
+    if not _has_untried_server(state, search, part):
+        part.missing_reason = reason if part.tried_server_ids else "unreachable"
         part.resolved = True
+    elif not enqueue(state, search, part):
+        part.resolved = True
+
+
+def _start(state: State, search: Search, part: ServicePart) -> bool:
+    if not start_attempt(state, search, part):
+        return False
+    part.missing_reason = "timed_out"
+    plan_hedge(state, search, part)
+    return True
+
+
+def _has_untried_server(state: State, search: Search, part: ServicePart) -> bool:
+    servers = servers_with(state, part.service, search.snapshot)
+    return any(server.id not in part.tried_server_ids for server in servers)
+
+
+def serve_waiting(state: State) -> None:
+    """Send waiting parts of the services that have got room."""
+    while state.freed_services:
+        name, _ = state.freed_services.popitem()
+        service = state.services_by_name.get(name)
+        while service is not None and (found := next_waiting(state, service)) is not None:
+            search, part = found
+            is_useless = budget_of(state, search) < service.times.quantile(0.5)
+            if not is_useless and not _start(state, search, part):
+                break
+            remove_next(service)
+            if is_useless:
+                part.resolved = True
+                _finish_if_resolved(state, search)
 
 
 def on_attempt_answered(state: State, event: AttemptAnswered) -> None:
@@ -170,7 +207,7 @@
     part.attempt_ids.remove(attempt.id)
     if not is_valid_answer(search, part, event):
         state.counters["attempts.wrong_snapshot"] += 1
-        _retry_part(state, search, part, "failed")
+        _retry_part(state, search, part, FailureKind.BAD_ANSWER)
         _finish_if_resolved(state, search)
         return
     _merge(search, part, event)
@@ -198,15 +235,18 @@
         return
     part = search.parts_by_service[attempt.service]
     part.attempt_ids.remove(attempt.id)
-    _retry_part(state, search, part, MISSING_REASON_BY_FAILURE[event.kind])
+    _retry_part(state, search, part, event.kind)
     _finish_if_resolved(state, search)
 
 
-def _retry_part(state: State, search: Search, part: ServicePart, reason: str) -> None:
-    part.missing_reason = reason
+def _retry_part(state: State, search: Search, part: ServicePart, kind: FailureKind) -> None:
+    part.missing_reason = MISSING_REASON_BY_FAILURE[kind]
     if part.attempt_ids:
         return
-    _start_or_resolve(state, search, part, reason)
+    if may_retry(state, part, kind):
+        _start_or_wait(state, search, part, part.missing_reason)
+    else:
+        part.resolved = True
 
 
 def on_search_deadline(state: State, call_id: int) -> None:
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -143,27 +143,46 @@
     probe_ms: float = 0.0
     started_at: Millis = float("-inf")
     limit: float = 0.0
+    limit_lowered_at: Millis = float("-inf")
     last_answered_sent_at: Millis = float("-inf")
 
 
+Waiting = tuple[int, float, int]
+"""Rank of the priority, deadline, call id."""
+
+MAX_COMPLETIONS = 128
+INITIAL_TOKENS = 3.0
+
+
 @dataclass(slots=True)
 class ServiceState:
     """Own observations of one service and its calls that wait for a server.
 
-    :param waiting: searches with a part that waits for a server of this service.
+    :param waiting: heap of the parts that wait for a server of this service.
+    :param waiting_since: when the queue last became non-empty.
+    :param completed_at: times of the latest answers.
+    :param times: how long answers took.
+    :param calm_times: how long answers took while no part waited; they decide about hedges, so
+        that hedging is back as soon as an overload is over.
     """
 
     name: str
     server_ids: tuple[str, ...]
-    waiting: deque[int] = field(default_factory=deque)
+    waiting: list[Waiting] = field(default_factory=list)
+    waiting_since: Millis = 0.0
+    completed_at: deque[Millis] = field(default_factory=lambda: deque(maxlen=MAX_COMPLETIONS))
     times: RecentTimes = field(default_factory=RecentTimes)
-    hedge_tokens: float = 0.0
-    retry_tokens: float = 0.0
+    calm_times: RecentTimes = field(default_factory=RecentTimes)
+    hedge_tokens: float = INITIAL_TOKENS
+    retry_tokens: float = INITIAL_TOKENS
 
 
 @dataclass(slots=True)
 class State:
-    """Everything that one entry instance knows."""
+    """Everything that one entry instance knows.
+
+    :param freed_services: services that may have room for waiting parts since this event.
+    """
 
     settings: Settings
     now: Millis = 0.0
@@ -179,6 +198,7 @@
     counters: Counter[str] = field(default_factory=Counter)
     next_attempt_id: int = 1
     wake_at: Millis | None = None
+    freed_services: dict[str, None] = field(default_factory=dict)
     out: list[Effect] = field(default_factory=list)
 
 
