--- a/bench/policies.py
+++ b/bench/policies.py
@@ -24,6 +24,10 @@
     Choose = Callable[[State, str, str | None, Container[str], str], ServerState | None]
 
 FIXED_HEDGE_MS = 40.0
+LIVE_INSTANCES = (
+    "turmerictiller.limits.live_instances",
+    "turmerictiller.admission.live_instances",
+)
 UNBOUNDED = 1_000_000
 
 
@@ -44,6 +48,10 @@
     def applied(self, world: World) -> Iterator[None]:
         """Replace the functions while the context is open."""
         with ExitStack() as stack:
+            # Gossip is not part of the runs, so the number of live instances is given.
+            live = world.deployment.instances
+            for path in LIVE_INSTANCES:
+                stack.enter_context(patch(path, lambda state: live))
             for path, function in self.replacements(world).items():
                 stack.enter_context(patch(path, function))
             if self.fixed_hedge_ms is not None:
--- a/bench/world.py
+++ b/bench/world.py
@@ -116,7 +116,6 @@
                 "failure_domain": domains[slot % len(domains)],
                 "incarnation": f"i{self._next_number}",
                 "seed": self.seed * 1_000 + self._next_number,
-                "peers": [f"127.0.0.1:{5_000 + n}" for n in range(1, self.deployment.instances)],
                 **self.settings,
             }
         )
--- a/tests/reducing.py
+++ b/tests/reducing.py
@@ -87,7 +87,7 @@
 
     def take(self, kind: type[E]) -> list[E]:
         """Remove and return the collected effects of one kind."""
-        found = [effect for effect in self.effects if isinstance(effect, kind)]
+        found: list[E] = [effect for effect in self.effects if isinstance(effect, kind)]
         self.effects = [effect for effect in self.effects if not isinstance(effect, kind)]
         return found
 
@@ -109,7 +109,7 @@
         self.send(events.SearchArrived(self.at, call_id, **values))
         return self.take(effects.SendSearch)
 
-    def answer(self, attempt: effects.SendSearch, hits: int = 2, **changes: Any) -> None:
+    def answer(self, attempt: effects.SendSearch, hits_per_shard: int = 2, **changes: Any) -> None:
         """Answer an attempt with hits of every shard of its service."""
         shards = self.state.shard_maps_by_snapshot[attempt.snapshot][attempt.service]
         values = {
@@ -118,7 +118,7 @@
             "hits": tuple(
                 events.Hit(1.0 / (number + 1), shard, f"{shard}#{number}")
                 for shard in shards
-                for number in range(hits)
+                for number in range(hits_per_shard)
             ),
             **changes,
         }
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,13 +8,13 @@
 from turmerictiller.errors import Ran, RefusalType
 from turmerictiller.fronts import Priority
 
-PEERS = [f"127.0.0.1:{6_000 + number}" for number in range(26)]
+ONE_CALL_PER_SERVER = 0.04
 LONG_MS = 5_000.0
 
 
 def narrow(services: int = 1, **front: object) -> Harness:
     """Return an instance that may have one call outstanding at each of three servers."""
-    harness = Harness(peers=PEERS)
+    harness = Harness(connection_margin=ONE_CALL_PER_SERVER)
     harness.start(services=services, **front)
     for service in harness.state.services_by_name.values():
         service.hedge_tokens = 0.0
@@ -50,8 +50,8 @@
 def test_search_that_would_wait_too_long_is_refused_at_once() -> None:
     """Guards against searches held until near their deadline and then given up."""
     harness = narrow()
-    fill(harness, 24)
-    harness.search(1, deadline_ms=500.0)
+    fill(harness, 100)
+    harness.search(1, deadline_ms=100.0)
     (reply,) = harness.take(effects.ReplyRefusal)
     assert reply.refusal.type is RefusalType.OVERLOADED
     assert reply.refusal.ran is Ran.NO
@@ -76,7 +76,7 @@
 
 def test_queue_is_bounded() -> None:
     """Guards against memory that grows with demand."""
-    harness = Harness(peers=PEERS, max_queue_per_service=5)
+    harness = Harness(connection_margin=ONE_CALL_PER_SERVER, max_queue_per_service=5)
     harness.start(services=1)
     fill(harness, 20)
     assert len(harness.state.services_by_name["jobs-0"].waiting) == 5
@@ -84,7 +84,7 @@
 
 def test_entries_of_ended_searches_make_room() -> None:
     """Guards against a queue that stays full of searches that have ended."""
-    harness = Harness(peers=PEERS, max_queue_per_service=5)
+    harness = Harness(connection_margin=ONE_CALL_PER_SERVER, max_queue_per_service=5)
     harness.start(services=1)
     fill(harness, 8)
     for call_id in (1_005, 1_006):
@@ -139,7 +139,7 @@
     harness.answer(first)
     service = harness.state.services_by_name["jobs-0"]
     service.waiting.clear()
-    harness.search(1, deadline_ms=500.0)
+    harness.search(1, deadline_ms=100.0)
     assert harness.take(effects.ReplyRefusal) == []
     part = harness.state.searches_by_id[1].parts_by_service["jobs-1"]
     assert (part.resolved, part.missing_reason) == (True, "no_capacity")
@@ -150,6 +150,6 @@
     """Guards against answers with less coverage than the front promises."""
     harness = narrow(services=2, overload="degrade", coverage_floor=0.9)
     fill(harness, 24)
-    harness.search(1, deadline_ms=500.0)
+    harness.search(1, deadline_ms=100.0)
     (reply,) = harness.take(effects.ReplyRefusal)
     assert (reply.refusal.type, reply.refusal.ran) == (RefusalType.OVERLOADED, Ran.NO)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -15,15 +15,16 @@
 @given(st.lists(st.booleans(), max_size=60), st.integers(0, 40))
 def test_limit_stays_between_one_and_the_share(sheds: list[bool], peers: int) -> None:
     """Guards against a server that gets no call ever again, or more than its share."""
-    harness = Harness(peers=[f"127.0.0.1:{6_000 + number}" for number in range(peers)])
+    harness = Harness()
     harness.start(services=1)
+    harness.state.peers.live_count = 1 + peers
     server = harness.state.servers_by_id["jobs-0-s0"]
     share = connection_share(harness.state, server)
     assert 1 <= share <= max(1, 27 // (1 + peers))
     for is_shed in sheds:
-        harness.advance(10)
+        harness.state.now += 10
         if is_shed:
-            on_shed(harness.state, server, Attempt(1, 1, "jobs-0", server.id, harness.at))
+            on_shed(harness.state, server, Attempt(1, 1, "jobs-0", server.id, harness.state.now))
         else:
             on_accepted(harness.state, server)
         assert 1 <= outstanding_limit(harness.state, server) <= share
@@ -89,6 +90,5 @@
     server = harness.state.servers_by_id["jobs-0-s0"]
     on_shed(harness.state, server, Attempt(1, 1, "jobs-0", server.id, harness.at))
     assert outstanding_limit(harness.state, server) > 5
-    peers = tuple(f"127.0.0.1:{6_000 + number}" for number in range(20))
-    harness.state.settings = harness.settings.model_copy(update={"peers": peers})
+    harness.state.peers.live_count = 21
     assert outstanding_limit(harness.state, server) == 1
--- a/turmerictiller/attempts.py
+++ b/turmerictiller/attempts.py
@@ -8,7 +8,9 @@
 from turmerictiller.effects import CancelAttempt, SendSearch
 from turmerictiller.events import FailureKind
 from turmerictiller.limits import on_accepted, on_shed
+from turmerictiller.quarantine import on_answered, on_server_lost
 from turmerictiller.routing import choose_probe, choose_server, observe_cancelled, observe_latency
+from turmerictiller.silence import on_unanswered
 from turmerictiller.state import Attempt, Search, ServerState, ServicePart, State
 
 if TYPE_CHECKING:
@@ -110,25 +112,32 @@
     """Cancel the attempts of a part that are still running."""
     for attempt_id in part.attempt_ids:
         attempt = state.attempts_by_id.get(attempt_id)
-        if attempt is None:
-            continue
-        close_attempt(state, attempt_id)
-        state.out.append(CancelAttempt(attempt_id))
-        server = state.servers_by_id.get(attempt.server_id)
-        if server is not None:
-            observe_cancelled(server, state.now - attempt.sent_at)
+        if attempt is not None:
+            close_attempt(state, attempt_id)
+            _observe_cancelled(state, attempt)
+            state.out.append(CancelAttempt(attempt_id))
     part.attempt_ids.clear()
 
 
+def _observe_cancelled(state: State, attempt: Attempt) -> None:
+    server = state.servers_by_id.get(attempt.server_id)
+    if server is None or on_unanswered(state, attempt, server) or attempt.spans_pause:
+        return
+    observe_cancelled(server, state.now - attempt.sent_at)
+
+
 def observe_answer(state: State, attempt: Attempt) -> None:
     """Learn from an attempt that was answered."""
     server = state.servers_by_id.get(attempt.server_id)
     if server is None:
         return
-    observe_latency(state, server, state.now - attempt.sent_at)
+    on_answered(state, attempt)
     server.failures_in_row = 0
     state.services_by_name[server.service].completed_at.append(state.now)
     on_accepted(state, server)
+    if attempt.spans_pause:
+        return
+    observe_latency(state, server, state.now - attempt.sent_at)
     server.last_answered_sent_at = max(server.last_answered_sent_at, attempt.sent_at)
 
 
@@ -136,12 +145,16 @@
     """Learn from an attempt that failed."""
     state.counters[f"attempts.failed.{event.kind.value}"] += 1
     server = state.servers_by_id.get(attempt.server_id)
-    if server is None:
+    if server is None or attempt.spans_pause:
+        return
+    if event.kind is FailureKind.TIMED_OUT and on_unanswered(state, attempt, server):
         return
     if event.kind in SERVER_FAILURES:
         server.failures_in_row += 1
     if event.kind is FailureKind.SHED:
         on_shed(state, server, attempt)
+    if event.kind is FailureKind.LOST:
+        on_server_lost(state, attempt, server)
 
 
 def is_valid_answer(search: Search, part: ServicePart, event: AttemptAnswered) -> bool:
--- a/turmerictiller/budgets.py
+++ b/turmerictiller/budgets.py
@@ -8,6 +8,7 @@
     from turmerictiller.state import State
 
 MAX_TOKENS = 10.0
+MIN_RETRIES_PER_S = 1.0
 
 
 def on_primary_call(state: State, service: str) -> None:
@@ -32,8 +33,14 @@
 
 
 def take_retry_token(state: State, service: str) -> bool:
-    """Charge one retried call; return whether the budget allows it."""
+    """Charge one retried call; return whether the budget allows it.
+
+    The budget also grows with time, because a front with few searches would never have a token.
+    """
     tokens = state.services_by_name[service]
+    earned = (state.now - tokens.retry_tokens_at) / 1000 * MIN_RETRIES_PER_S
+    tokens.retry_tokens = min(MAX_TOKENS, tokens.retry_tokens + earned)
+    tokens.retry_tokens_at = state.now
     if tokens.retry_tokens < 1:
         return False
     tokens.retry_tokens -= 1
--- a/turmerictiller/errors.py
+++ b/turmerictiller/errors.py
@@ -25,10 +25,45 @@
     """A peer frame that is malformed, oversized or of another protocol version."""
 
 
+class PeerError(TurmericError):
+    """A message to a peer that could not be sent or was not answered.
+
+    :param reason: a short name of the cause, such as ``timed_out``.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
 class CursorError(TurmericError):
     """A paging cursor that this system did not issue."""
 
 
+class BodyError(TurmericError):
+    """A caller's body that is not JSON or can not be passed on unchanged."""
+
+
+class ShutdownError(TurmericError):
+    """The end of the process interrupted a call before it was read."""
+
+
+class TicketError(TurmericError):
+    """A ticket that this incarnation can not accept as its own."""
+
+
+class MalformedTicketError(TicketError):
+    """A text that has not the form of a ticket."""
+
+
+class ForeignTicketError(TicketError):
+    """A ticket that names another incarnation."""
+
+
+class ForgedTicketError(TicketError):
+    """A ticket that names this incarnation but was not issued by it."""
+
+
 class TraceError(TurmericError):
     """A trace file that can not be read or replayed."""
 
@@ -40,6 +75,8 @@
     BODY_TOO_LARGE = "body_too_large"
     UNKNOWN_FRONT = "unknown_front"
     UNKNOWN_ACTION = "unknown_action"
+    UNKNOWN_SERVICE = "unknown_service"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
     BAD_CURSOR = "bad_cursor"
     NO_NOTE = "no_note"
     NO_SNAPSHOT = "no_snapshot"
@@ -54,6 +91,12 @@
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     TIMED_OUT_READING = "timed_out_reading"
+    UNSUPPORTED_MEDIA_TYPE = "unsupported_media_type"
+    EXPECTATION_FAILED = "expectation_failed"
+    MALFORMED_HTTP = "malformed_http"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    HALF_CLOSED = "half_closed"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
     INTERNAL = "internal"
 
 
@@ -62,6 +105,8 @@
     RefusalType.BODY_TOO_LARGE: 413,
     RefusalType.UNKNOWN_FRONT: 404,
     RefusalType.UNKNOWN_ACTION: 404,
+    RefusalType.UNKNOWN_SERVICE: 404,
+    RefusalType.DEADLINE_TOO_SHORT: 400,
     RefusalType.BAD_CURSOR: 400,
     RefusalType.NO_NOTE: 503,
     RefusalType.NO_SNAPSHOT: 503,
@@ -76,6 +121,12 @@
     RefusalType.NOT_FOUND: 404,
     RefusalType.METHOD_NOT_ALLOWED: 405,
     RefusalType.TIMED_OUT_READING: 408,
+    RefusalType.UNSUPPORTED_MEDIA_TYPE: 415,
+    RefusalType.EXPECTATION_FAILED: 417,
+    RefusalType.MALFORMED_HTTP: 400,
+    RefusalType.HEADERS_TOO_LARGE: 431,
+    RefusalType.HALF_CLOSED: 400,
+    RefusalType.TOO_MANY_CONNECTIONS: 503,
     RefusalType.INTERNAL: 500,
 }
 
--- a/turmerictiller/hedging.py
+++ b/turmerictiller/hedging.py
@@ -24,8 +24,11 @@
 
 
 def plan_hedge(state: State, search: Search, part: ServicePart) -> None:
-    """Set the time at which a part that was just sent is hedged if it is still unanswered."""
-    delay_ms = hedge_delay_ms(state, search, part)
+    """Set the time at which a part that was just sent is hedged if it is still unanswered.
+
+    A test of a quarantined search is not hedged, because it may crash the second server too.
+    """
+    delay_ms = None if search.is_test else hedge_delay_ms(state, search, part)
     if delay_ms is not None:
         key = (search.call_id, part.service, part.attempt_ids[-1])
         state.timers.add(state.now + delay_ms, TimerKind.HEDGE, key)
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -9,6 +9,9 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from turmerictiller.note_state import NotesState
+from turmerictiller.peer_state import PeersState
+from turmerictiller.ticket_table import TicketTable
 from turmerictiller.util.histogram import RecentTimes
 
 if TYPE_CHECKING:
@@ -17,6 +20,7 @@
     from turmerictiller.effects import Effect
     from turmerictiller.events import Hit
     from turmerictiller.fronts import Front, NoteInForce, Priority
+    from turmerictiller.quarantine import Suspect
 
 
 class TimerKind(Enum):
@@ -32,6 +36,32 @@
     SHUTDOWN = "shutdown"
 
 
+class ProcessPhase(Enum):
+    """Phases in the life of the process, in order."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    DRAINING = "draining"
+    CLOSING = "closing"
+    STOPPED = "stopped"
+
+
+@dataclass(slots=True)
+class Lifecycle:
+    """Where the process is in its life.
+
+    :param ends_at: when a shutdown that has begun is over at the latest.
+    :param last_call_at: arrival of the latest call since the shutdown began.
+    :param callers_left: whether listeners are closed and no caller is connected.
+    """
+
+    phase: ProcessPhase = ProcessPhase.STARTING
+    ends_at: Millis = float("inf")
+    last_call_at: Millis = float("-inf")
+    listeners_closed: bool = False
+    callers_left: bool = False
+
+
 @dataclass(slots=True)
 class Timers:
     """A queue of due times; a timer whose subject is gone is ignored when it runs out."""
@@ -60,7 +90,7 @@
 class Attempt:
     """One call to one server, search or run.
 
-    :param call_id: the search or run that it belongs to.
+    :param call_id: the search that it belongs to; for a run, the sequence number of its ticket.
     """
 
     id: int
@@ -71,6 +101,7 @@
     is_hedge: bool = False
     is_run: bool = False
     fingerprint: str = ""
+    spans_pause: bool = False
 
 
 @dataclass(slots=True)
@@ -106,6 +137,7 @@
     fingerprint: str
     after: tuple[float, str, str] | None = None
     restarted: bool = False
+    is_test: bool = False
     parts_by_service: dict[str, ServicePart] = field(default_factory=dict)
     hits: list[Hit] = field(default_factory=list)
     lost_server_ids: set[str] = field(default_factory=set)
@@ -120,6 +152,7 @@
     :param attempt_ids: time of sending by outstanding attempt, oldest first.
     :param ejected: whether it gets only probes, the next one at ``ejected_until``.
     :param started_at: when another incarnation of the server was first seen.
+    :param draining_incarnations: the last incarnations known to drain, the newest last.
     """
 
     id: str
@@ -128,6 +161,7 @@
     service: str
     incarnation: str = ""
     draining: bool = False
+    draining_incarnations: tuple[str, ...] = ()
     snapshots: tuple[str, ...] = ()
     status_at: Millis = float("-inf")
     reported_load: float = 0.0
@@ -145,6 +179,8 @@
     limit: float = 0.0
     limit_lowered_at: Millis = float("-inf")
     last_answered_sent_at: Millis = float("-inf")
+    lost_at: Millis = float("-inf")
+    reset_at: Millis = float("-inf")
 
 
 Waiting = tuple[int, float, int]
@@ -175,6 +211,7 @@
     calm_times: RecentTimes = field(default_factory=RecentTimes)
     hedge_tokens: float = INITIAL_TOKENS
     retry_tokens: float = INITIAL_TOKENS
+    retry_tokens_at: Millis = 0.0
 
 
 @dataclass(slots=True)
@@ -187,14 +224,22 @@
     settings: Settings
     now: Millis = 0.0
     rng: random.Random = field(default_factory=random.Random)
+    lifecycle: Lifecycle = field(default_factory=Lifecycle)
     note: NoteInForce | None = None
+    notes: NotesState = field(default_factory=NotesState)
+    peers: PeersState = field(default_factory=PeersState)
     searches_by_id: dict[int, Search] = field(default_factory=dict)
     attempts_by_id: dict[int, Attempt] = field(default_factory=dict)
     servers_by_id: dict[str, ServerState] = field(default_factory=dict)
     services_by_name: dict[str, ServiceState] = field(default_factory=dict)
     shard_maps_by_snapshot: dict[str, dict[str, tuple[str, ...]]] = field(default_factory=dict)
     maps_requested_at: dict[str, Millis] = field(default_factory=dict)
+    tickets: TicketTable = field(default_factory=TicketTable)
     timers: Timers = field(default_factory=Timers)
+    suspects_by_fingerprint: dict[str, Suspect] = field(default_factory=dict)
+    quarantine_changed: bool = False
+    housekeeping_started: bool = False
+    resumed_at: Millis = float("-inf")
     counters: Counter[str] = field(default_factory=Counter)
     next_attempt_id: int = 1
     wake_at: Millis | None = None
@@ -204,4 +249,7 @@
 
 def new_state(settings: Settings) -> State:
     """Return the state of an instance that has just started."""
-    return State(settings=settings, rng=random.Random(settings.seed))
+    state = State(settings=settings, rng=random.Random(settings.seed))
+    state.peers.live_count = 1 + len(set(settings.peers) - {settings.peer_address})
+    state.timers.add(state.now, TimerKind.GOSSIP)
+    return state
--- a/turmerictiller/upstreams.py
+++ b/turmerictiller/upstreams.py
@@ -8,6 +8,7 @@
 import aiohttp
 import orjson
 
+from turmerictiller.connection_pool import ConnectionPools
 from turmerictiller.events import (
     AttemptAnswered,
     AttemptFailed,
@@ -29,11 +30,11 @@
     from turmerictiller.effects import (
         FetchShardMap,
         PollHealth,
+        ResetConnections,
         SendRun,
         SendSearch,
     )
 
-KEEPALIVE_S = 15.0
 POLL_TIMEOUT_S = 1.0
 
 FAILURE_BY_ERROR = {
@@ -52,11 +53,11 @@
         self._dispatch = dispatch
         self._tasks_by_attempt: dict[int, asyncio.Task[None]] = {}
         self._polls: set[asyncio.Task[None]] = set()
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
-        self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        # A non-idempotent request gets a connection of its own: a kept one may have gone silent.
-        self._run_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True), auto_decompress=False
+        self._pools = ConnectionPools()
+        # Polls and non-idempotent requests get connections of their own: a kept one may have gone
+        # silent.
+        self._fresh_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
         )
 
     def send_search(self, effect: SendSearch) -> None:
@@ -81,14 +82,18 @@
         """Ask a server for a shard map."""
         self._poll(self._shard_map(effect))
 
+    def reset_connections(self, effect: ResetConnections) -> None:
+        """Close the idle connections to a server."""
+        self._pools.reset(effect.address)
+
     async def close(self) -> None:
         """End all calls."""
         tasks = [*self._tasks_by_attempt.values(), *self._polls]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self._session.close()
-        await self._run_session.close()
+        await self._pools.close()
+        await self._fresh_session.close()
 
     def _start(self, attempt_id: int, call: Any) -> None:
         task = asyncio.get_running_loop().create_task(call)
@@ -111,7 +116,8 @@
             "budget_ms": effect.budget_ms,
         }
         url = f"http://{effect.address}/search"
-        event = await self._post(self._session, url, request, effect.attempt_id, effect.timeout_ms)
+        async with self._pools.session(effect.address) as session:
+            event = await self._post(session, url, request, effect.attempt_id, effect.timeout_ms)
         if isinstance(event, AttemptFailed):
             self._dispatch(event)
             return
@@ -126,8 +132,10 @@
             "budget_ms": effect.budget_ms,
         }
         url = f"http://{effect.address}/run"
+        # A connection that does not open in time leaves half of the time for another server.
+        connect_ms = min(self._settings.run_connect_timeout_ms, effect.timeout_ms / 2)
         event = await self._post(
-            self._run_session, url, request, effect.attempt_id, effect.timeout_ms
+            self._fresh_session, url, request, effect.attempt_id, effect.timeout_ms, connect_ms
         )
         if isinstance(event, AttemptFailed):
             self._dispatch(event)
@@ -149,8 +157,12 @@
         request: dict[str, Any],
         attempt_id: int,
         timeout_ms: float,
+        connect_ms: float | None = None,
     ) -> dict[str, Any] | AttemptFailed:
-        timeout = aiohttp.ClientTimeout(total=max(timeout_ms, 1) / 1000)
+        timeout = aiohttp.ClientTimeout(
+            total=max(timeout_ms, 1) / 1000,
+            sock_connect=None if connect_ms is None else max(connect_ms, 1) / 1000,
+        )
         try:
             # POST is never repeated by aiohttp itself, unlike GET on a kept connection.
             async with session.post(
@@ -163,7 +175,8 @@
                 body = await self._read(response)
                 answer = orjson.loads(body)
                 status = response.status
-        except aiohttp.ClientConnectorError:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            # Both are raised only while the connection is opened, before a byte is written.
             return self._failed(attempt_id, FailureKind.UNSENT)
         except TimeoutError:
             return self._failed(attempt_id, FailureKind.TIMED_OUT)
@@ -223,7 +236,9 @@
     async def _get(self, url: str) -> Any:
         timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
         try:
-            async with self._session.get(url, timeout=timeout, allow_redirects=False) as response:
+            async with self._fresh_session.get(
+                url, timeout=timeout, allow_redirects=False
+            ) as response:
                 if response.status != 200:
                     return None
                 return orjson.loads(await self._read(response))
