--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -154,6 +154,11 @@
     """Guards against a comparison that accepts other effects."""
     harness = RecordingHarness(max_trace_events=100)
     drive(harness, FIXED_STEPS)
+    # The ring must hold a retry; the failures among the steps may all be late.
+    first, *_ = harness.search(10_000, query="satin")
+    kind = events.FailureKind.UNSENT
+    harness.send(events.AttemptFailed(harness.at, first.attempt_id, kind))
+    assert harness.take(effects.SendSearch)
 
     def without_retries(state: Any, event: Any) -> list[effects.Effect]:
         new = reduce(state, event)
--- a/turmerictiller/attempts.py
+++ b/turmerictiller/attempts.py
@@ -4,28 +4,43 @@
 
 from typing import TYPE_CHECKING
 
+from turmerictiller.budgets import on_primary_call
 from turmerictiller.effects import CancelAttempt, SendSearch
 from turmerictiller.events import FailureKind
+from turmerictiller.limits import on_accepted, on_shed
 from turmerictiller.quarantine import on_answered, on_server_lost
-from turmerictiller.routing import choose_server, observe_latency
+from turmerictiller.routing import choose_probe, choose_server, observe_cancelled, observe_latency
 from turmerictiller.silence import on_unanswered
-from turmerictiller.state import Attempt, Search, ServicePart, State
+from turmerictiller.state import Attempt, Search, ServerState, ServicePart, State
 
 if TYPE_CHECKING:
     from turmerictiller.events import AttemptAnswered, AttemptFailed
 
+SERVER_FAILURES = frozenset(
+    {
+        FailureKind.UNSENT,
+        FailureKind.REJECTED,
+        FailureKind.LOST,
+        FailureKind.TIMED_OUT,
+        FailureKind.BAD_ANSWER,
+    }
+)
+
 
 def start_attempt(state: State, search: Search, part: ServicePart, is_hedge: bool = False) -> bool:
     """Send a part of a search to a server; return whether one had room."""
-    server = choose_server(state, part.service, search.snapshot, part.tried_server_ids)
+    if budget_of(state, search) <= 0:
+        return False
+    server = _choose(state, search, part, is_hedge)
     if server is None:
         return False
-    budget_ms = search.deadline_at - state.now - state.settings.return_margin_ms
     attempt = new_attempt(state, search.call_id, part.service, server.id)
     attempt.is_hedge = is_hedge
     attempt.fingerprint = search.fingerprint
     part.attempt_ids.append(attempt.id)
     part.tried_server_ids.add(server.id)
+    if not is_hedge:
+        on_primary_call(state, part.service)
     state.out.append(
         SendSearch(
             attempt_id=attempt.id,
@@ -37,13 +52,34 @@
             query=search.query,
             k=search.k,
             after=search.after,
-            budget_ms=budget_ms,
+            budget_ms=budget_of(state, search),
             timeout_ms=search.deadline_at - state.now,
         )
     )
     return True
 
 
+def budget_of(state: State, search: Search) -> float:
+    """Return the time within which an upstream's answer is of use, less the way back."""
+    return search.deadline_at - state.now - state.settings.return_margin_ms
+
+
+def _choose(state: State, search: Search, part: ServicePart, is_hedge: bool) -> ServerState | None:
+    if not part.tried_server_ids:
+        probe = choose_probe(state, part.service, search.snapshot)
+        part.is_probe = probe is not None
+        if probe is not None:
+            return probe
+    avoid_domain = _domain_of_part(state, part) if is_hedge else ""
+    return choose_server(state, part.service, search.snapshot, part.tried_server_ids, avoid_domain)
+
+
+def _domain_of_part(state: State, part: ServicePart) -> str:
+    attempt = state.attempts_by_id.get(part.attempt_ids[-1]) if part.attempt_ids else None
+    server = state.servers_by_id.get(attempt.server_id) if attempt else None
+    return server.domain if server else ""
+
+
 def new_attempt(state: State, call_id: int, service: str, server_id: str) -> Attempt:
     """Register a call to a server."""
     attempt = Attempt(state.next_attempt_id, call_id, service, server_id, state.now)
@@ -68,6 +104,7 @@
     server = state.servers_by_id.get(attempt.server_id)
     if server is not None:
         server.attempt_ids.pop(attempt_id, None)
+        state.freed_services[server.service] = None
     return attempt
 
 
@@ -77,13 +114,18 @@
         attempt = state.attempts_by_id.get(attempt_id)
         if attempt is not None:
             close_attempt(state, attempt_id)
-            server = state.servers_by_id.get(attempt.server_id)
-            if server is not None:
-                on_unanswered(state, attempt, server)
+            _observe_cancelled(state, attempt)
             state.out.append(CancelAttempt(attempt_id))
     part.attempt_ids.clear()
 
 
+def _observe_cancelled(state: State, attempt: Attempt) -> None:
+    server = state.servers_by_id.get(attempt.server_id)
+    if server is None or on_unanswered(state, attempt, server) or attempt.spans_pause:
+        return
+    observe_cancelled(server, state.now - attempt.sent_at)
+
+
 def observe_answer(state: State, attempt: Attempt) -> None:
     """Learn from an attempt that was answered."""
     server = state.servers_by_id.get(attempt.server_id)
@@ -91,9 +133,11 @@
         return
     on_answered(state, attempt)
     server.failures_in_row = 0
+    state.services_by_name[server.service].completed_at.append(state.now)
+    on_accepted(state, server)
     if attempt.spans_pause:
         return
-    observe_latency(server, state.now - attempt.sent_at)
+    observe_latency(state, server, state.now - attempt.sent_at)
     server.last_answered_sent_at = max(server.last_answered_sent_at, attempt.sent_at)
 
 
@@ -105,7 +149,10 @@
         return
     if event.kind is FailureKind.TIMED_OUT and on_unanswered(state, attempt, server):
         return
-    server.failures_in_row += 1
+    if event.kind in SERVER_FAILURES:
+        server.failures_in_row += 1
+    if event.kind is FailureKind.SHED:
+        on_shed(state, server, attempt)
     if event.kind is FailureKind.LOST:
         on_server_lost(state, attempt, server)
 
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -7,6 +7,7 @@
 from turmerictiller import (
     events,
     gossip,
+    hedging,
     housekeeping,
     lifecycle,
     membership,
@@ -81,6 +82,7 @@
 
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
+    TimerKind.HEDGE: hedging.on_hedge_due,
     TimerKind.RUN_DEADLINE: tickets.on_deadline,
     TimerKind.GOSSIP: gossip.on_gossip_round,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
@@ -99,6 +101,7 @@
         handler(state, event)
         lifecycle.observe_note(state)
         _run_due_timers(state)
+    searches.serve_waiting(state)
     _request_wake(state)
     effects, state.out = state.out, []
     return effects
--- a/turmerictiller/searches.py
+++ b/turmerictiller/searches.py
@@ -5,7 +5,9 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from turmerictiller.admission import enqueue, next_waiting, refuse_early, remove_next
 from turmerictiller.attempts import (
+    budget_of,
     cancel_attempts,
     close_attempt,
     is_valid_answer,
@@ -17,10 +19,12 @@
 from turmerictiller.errors import CursorError, Ran, Refusal, RefusalType
 from turmerictiller.events import FailureKind
 from turmerictiller.fronts import Priority
+from turmerictiller.hedging import plan_hedge
 from turmerictiller.losses import may_send_again, release_lost_parts
 from turmerictiller.membership import observe_status
 from turmerictiller.merge import Cursor, decode_cursor, encode_cursor, hits_after, rank, top_k
 from turmerictiller.quarantine import begin_test, end_test, quarantined_for_ms, service_to_test
+from turmerictiller.retries import may_retry
 from turmerictiller.routing import servers_with
 from turmerictiller.snapshot import choose_snapshot, coverage_of, shards_of
 from turmerictiller.state import Search, ServicePart, State, TimerKind
@@ -51,6 +55,10 @@
     if isinstance(started, Refusal):
         refuse(state, event.call_id, started)
         return
+    refusal = refuse_early(state, started)
+    if refusal is not None:
+        refuse(state, event.call_id, refusal)
+        return
     started.is_test = begin_test(state, started.fingerprint, started.call_id)
     state.searches_by_id[started.call_id] = started
     state.counters["searches.started"] += 1
@@ -149,7 +157,8 @@
         _scatter_test(state, search)
         return
     for part in search.parts_by_service.values():
-        _start_or_resolve(state, search, part, "no_capacity")
+        if not part.resolved:
+            _start_or_wait(state, search, part, "no_capacity")
     _finish_if_resolved(state, search)
 
 
@@ -158,8 +167,8 @@
     service = service_to_test(state, search.fingerprint)
     parts = list(search.parts_by_service.values())
     part = search.parts_by_service.get(service or parts[0].service, parts[0])
-    _start_or_resolve(state, search, part, "no_capacity")
-    if not part.attempt_ids:
+    if not _start(state, search, part):
+        part.missing_reason = "no_capacity"
         finish(state, search)
 
 
@@ -168,17 +177,47 @@
     search.is_test = False
     for part in search.parts_by_service.values():
         if not part.resolved:
-            _start_or_resolve(state, search, part, "no_capacity")
+            _start_or_wait(state, search, part, "no_capacity")
 
 
-def _start_or_resolve(state: State, search: Search, part: ServicePart, reason: str) -> None:
-    if start_attempt(state, search, part):
-        return
-    if not servers_with(state, part.service, search.snapshot):
-        reason = "unreachable"
+def _start_or_wait(state: State, search: Search, part: ServicePart, reason: str) -> None:
     part.missing_reason = reason
-    if not part.attempt_ids:
+    if _start(state, search, part):
+        return
+    if not _has_untried_server(state, search, part):
+        part.missing_reason = reason if part.tried_server_ids else "unreachable"
         part.resolved = True
+    elif not enqueue(state, search, part):
+        part.resolved = True
+
+
+def _start(state: State, search: Search, part: ServicePart) -> bool:
+    if not start_attempt(state, search, part):
+        return False
+    part.missing_reason = "timed_out"
+    plan_hedge(state, search, part)
+    return True
+
+
+def _has_untried_server(state: State, search: Search, part: ServicePart) -> bool:
+    servers = servers_with(state, part.service, search.snapshot)
+    return any(server.id not in part.tried_server_ids for server in servers)
+
+
+def serve_waiting(state: State) -> None:
+    """Send waiting parts of the services that have got room."""
+    while state.freed_services:
+        name, _ = state.freed_services.popitem()
+        service = state.services_by_name.get(name)
+        while service is not None and (found := next_waiting(state, service)) is not None:
+            search, part = found
+            is_useless = budget_of(state, search) < service.times.quantile(0.5)
+            if not is_useless and not _start(state, search, part):
+                break
+            remove_next(service)
+            if is_useless:
+                part.resolved = True
+                _finish_if_resolved(state, search)
 
 
 def on_attempt_answered(state: State, event: AttemptAnswered) -> None:
@@ -195,7 +234,7 @@
     part.attempt_ids.remove(attempt.id)
     if not is_valid_answer(search, part, event):
         state.counters["attempts.wrong_snapshot"] += 1
-        _retry_part(state, search, part, "failed")
+        _retry_part(state, search, part, FailureKind.BAD_ANSWER)
         _finish_if_resolved(state, search)
         return
     _merge(search, part, event)
@@ -235,7 +274,7 @@
             return
     if event.kind is FailureKind.SNAPSHOT_GONE and _restart(state, search):
         return
-    _retry_part(state, search, part, MISSING_REASON_BY_FAILURE[event.kind])
+    _retry_part(state, search, part, event.kind)
     _finish_if_resolved(state, search)
 
 
@@ -278,14 +317,17 @@
     return True
 
 
-def _retry_part(state: State, search: Search, part: ServicePart, reason: str) -> None:
-    part.missing_reason = reason
+def _retry_part(state: State, search: Search, part: ServicePart, kind: FailureKind) -> None:
+    part.missing_reason = MISSING_REASON_BY_FAILURE[kind]
     if part.attempt_ids:
         return
     if search.is_test:
         finish(state, search)
         return
-    _start_or_resolve(state, search, part, reason)
+    if may_retry(state, part, kind):
+        _start_or_wait(state, search, part, part.missing_reason)
+    else:
+        part.resolved = True
 
 
 def on_search_deadline(state: State, call_id: int) -> None:
@@ -312,7 +354,7 @@
     probing = search.parts_by_service.get(search.probing_service or "")
     if probing is not None and probing.resolved:
         for part in release_lost_parts(search, probing):
-            _start_or_resolve(state, search, part, "crashed")
+            _retry_part(state, search, part, FailureKind.LOST)
     if all(part.resolved for part in search.parts_by_service.values()):
         finish(state, search)
 
