--- a/tests/reducing.py
+++ b/tests/reducing.py
@@ -93,11 +93,8 @@
 
     def start(self, version: int = 1, services: int = 2, servers: int = 3, **front: Any) -> str:
         """Put a note in force, with all servers up and serving one snapshot."""
-        self.send(
-            events.NoteSeen(
-                self.at, "platform", first_note(services=services, servers=servers, **front)
-            )
-        )
+        note = first_note(services=services, servers=servers, **front)
+        self.send(events.NoteSeen(self.at, "platform", note))
         shards = shard_map(services)
         name = snapshot(version, shards)
         for server_id in list(self.state.servers_by_id):
@@ -106,6 +103,14 @@
         self.send(events.ShardMapSeen(self.at, next(iter(self.state.servers_by_id)), name, shards))
         return name
 
+    def list_instances(self, *addresses: str) -> None:
+        """Let the platform list entry instances at some addresses."""
+        rows = tuple(
+            events.ListedInstance(f"listed-{address}", "entry", address, "plateau", False)
+            for address in addresses
+        )
+        self.send(events.InstanceListSeen(self.at, 1, rows))
+
     def search(self, call_id: int, **kwargs: Any) -> list[effects.SendSearch]:
         """Send a search and return its attempts."""
         values = {"front": "booking", "query": "velvet", "deadline_ms": 500.0, **kwargs}
--- a/turmerictiller/config.py
+++ b/turmerictiller/config.py
@@ -96,7 +96,7 @@
         1, description="Shortest budget with which a run request is sent.", gt=0
     )
     return_margin_ms: float = Field(2, description="Time kept back for the way back.", ge=0)
-    hedge_share: float = Field(0.02, description="Hedges per primary call.", ge=0, le=0.2)
+    hedge_share: float = Field(0.03, description="Hedges per primary call.", ge=0, le=0.2)
     retry_share: float = Field(0.05, description="Retries per primary call.", ge=0, le=0.5)
     connection_margin: float = Field(
         0.9, description="Share of a server's connections that all instances use.", gt=0, le=1
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -12,6 +12,7 @@
 from turmerictiller.note_state import NotesState
 from turmerictiller.peer_state import PeersState
 from turmerictiller.ticket_table import TicketTable
+from turmerictiller.util.histogram import RecentTimes
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
@@ -111,9 +112,11 @@
     shards: tuple[str, ...]
     attempt_ids: list[int] = field(default_factory=list)
     tried_server_ids: set[str] = field(default_factory=set)
+    is_probe: bool = False
     merged_shards: frozenset[str] = frozenset()
     resolved: bool = False
     missing_reason: str = "timed_out"
+    is_held: bool = False
 
 
 @dataclass(slots=True)
@@ -138,7 +141,7 @@
     is_test: bool = False
     parts_by_service: dict[str, ServicePart] = field(default_factory=dict)
     hits: list[Hit] = field(default_factory=list)
-    lost_server_ids: set[str] = field(default_factory=set)
+    probing_service: str | None = None
 
 
 @dataclass(slots=True)
@@ -147,6 +150,9 @@
 
     :param fast_ms: moving average of latency that follows changes within a few calls.
     :param slow_ms: moving average of latency over many calls.
+    :param attempt_ids: time of sending by outstanding attempt, oldest first.
+    :param ejected: whether it gets only probes, the next one at ``ejected_until``.
+    :param started_at: when another incarnation of the server was first seen.
     :param draining_incarnations: the last incarnations known to drain, the newest last.
     """
 
@@ -167,30 +173,54 @@
     slow_ms: float = 0.0
     samples: int = 0
     failures_in_row: int = 0
+    ejected: bool = False
     ejected_until: Millis = float("-inf")
+    probe_ms: float = 0.0
+    started_at: Millis = float("-inf")
     limit: float = 0.0
+    limit_lowered_at: Millis = float("-inf")
     last_answered_sent_at: Millis = float("-inf")
     lost_at: Millis = float("-inf")
     reset_at: Millis = float("-inf")
 
 
+Waiting = tuple[int, float, int]
+"""Rank of the priority, deadline, call id."""
+
+MAX_COMPLETIONS = 128
+INITIAL_TOKENS = 3.0
+
+
 @dataclass(slots=True)
 class ServiceState:
     """Own observations of one service and its calls that wait for a server.
 
-    :param waiting: searches with a part that waits for a server of this service.
+    :param waiting: heap of the parts that wait for a server of this service.
+    :param waiting_since: when the queue last became non-empty.
+    :param completed_at: times of the latest answers.
+    :param times: how long answers took.
+    :param calm_times: how long answers took while no part waited; they decide about hedges, so
+        that hedging is back as soon as an overload is over.
     """
 
     name: str
     server_ids: tuple[str, ...]
-    waiting: deque[int] = field(default_factory=deque)
-    hedge_tokens: float = 0.0
-    retry_tokens: float = 0.0
+    waiting: list[Waiting] = field(default_factory=list)
+    waiting_since: Millis = 0.0
+    completed_at: deque[Millis] = field(default_factory=lambda: deque(maxlen=MAX_COMPLETIONS))
+    times: RecentTimes = field(default_factory=RecentTimes)
+    calm_times: RecentTimes = field(default_factory=RecentTimes)
+    hedge_tokens: float = INITIAL_TOKENS
+    retry_tokens: float = INITIAL_TOKENS
+    retry_tokens_at: Millis = 0.0
 
 
 @dataclass(slots=True)
 class State:
-    """Everything that one entry instance knows."""
+    """Everything that one entry instance knows.
+
+    :param freed_services: services that may have room for waiting parts since this event.
+    """
 
     settings: Settings
     now: Millis = 0.0
@@ -214,6 +244,7 @@
     counters: Counter[str] = field(default_factory=Counter)
     next_attempt_id: int = 1
     wake_at: Millis | None = None
+    freed_services: dict[str, None] = field(default_factory=dict)
     out: list[Effect] = field(default_factory=list)
 
 
