Read large answers of the platform whole

Cause: a release note that did not fit into the first packets was cut, because reading up to a size returns what has arrived. A note over 3,400 servers takes 330 kB, so the design size could not start. Ruled out: a larger receive buffer (it only moves the size at which notes are cut). Before: the test with a 900 kB value fails (the answer counts as malformed). After: it passes, and a value over the bound still counts as a failure.

--- /dev/null
+++ b/tests/test_platform_reads.py
@@ -0,0 +1,49 @@
+"""Tests of reads of the platform over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from standins.platform import Platform, application
+from tests.reducing import Harness
+from turmerictiller.clock import Clock
+from turmerictiller.events import Event, NoteSeen, PlatformFailed
+from turmerictiller.platform_client import PlatformClient
+
+
+def first_event(value: object) -> Event:
+    """Return what a client hears first from a platform that holds a value."""
+
+    async def scenario() -> Event:
+        platform = Platform()
+        platform.note.put(value)
+        runner = web.AppRunner(application(platform), shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        heard: asyncio.Queue[Event] = asyncio.Queue()
+        settings = Harness(platform_address=f"{host}:{port}").settings
+        client = PlatformClient(settings, Clock(), heard.put_nowait)
+        client.start()
+        while not isinstance(event := await heard.get(), NoteSeen | PlatformFailed):
+            pass
+        await client.close()
+        await runner.cleanup()
+        return event
+
+    return asyncio.run(scenario())
+
+
+def test_large_note_is_read_whole() -> None:
+    """Guards against a note that is cut where the first packets end."""
+    value = {"text": "x" * 900_000}
+    event = first_event(value)
+    assert isinstance(event, NoteSeen)
+    assert event.document == value
+
+
+def test_value_over_the_bound_is_a_failure() -> None:
+    """Guards against a platform that fills the memory of an instance."""
+    assert isinstance(first_event({"text": "x" * 2_100_000}), PlatformFailed)
--- a/turmerictiller/platform_client.py
+++ b/turmerictiller/platform_client.py
@@ -24,6 +24,7 @@
     NoteSeen,
     PlatformFailed,
 )
+from turmerictiller.util.http_bodies import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -95,7 +96,7 @@
             async with self._session.get(url, params=query, timeout=timeout) as response:
                 if response.status == 204:
                     return None
-                body = await response.content.read(2 * self._settings.max_note_bytes)
+                body = await read_body(response, 2 * self._settings.max_note_bytes)
                 answer = orjson.loads(body)
                 if response.status != 200 or not isinstance(answer.get("revision"), int):
                     return PlatformFailed(self._clock.now_ms(), f"status {response.status}")
--- a/turmerictiller/upstreams.py
+++ b/turmerictiller/upstreams.py
@@ -21,6 +21,7 @@
     ShardMapSeen,
     UpstreamStatus,
 )
+from turmerictiller.util.http_bodies import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -172,7 +173,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                body = await self._read(response)
+                body = await read_body(response, self._settings.max_answer_bytes)
                 answer = orjson.loads(body)
                 status = response.status
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
@@ -190,16 +191,6 @@
             return self._refused(attempt_id, answer)
         return answer
 
-    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
-        limit = self._settings.max_answer_bytes
-        body = bytearray()
-        async for chunk in response.content.iter_any():
-            body += chunk
-            if len(body) > limit:
-                response.close()
-                raise ValueError("answer is too large")
-        return bytes(body)
-
     def _failed(self, attempt_id: int, kind: FailureKind) -> AttemptFailed:
         return AttemptFailed(self._clock.now_ms(), attempt_id, kind)
 
@@ -241,7 +232,7 @@
             ) as response:
                 if response.status != 200:
                     return None
-                return orjson.loads(await self._read(response))
+                return orjson.loads(await read_body(response, self._settings.max_answer_bytes))
         except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError):
             return None
 
