Measure faults, and stop counting queues and servers that are gone

Cause: the scenario with a domain cut off showed two faults. A server with calls outstanding was never taken out of use, however many polls failed, so searches waited for it until their deadline; and a queue whose service had lost all servers was never emptied, so its predicted wait refused every search of the front. Ruled out: marking a server after one failed poll, because a busy server may lose one; it must have answered nothing for an interval. Change: scenarios lost, restart, platform, cut, crashing and index; unreachable by silence; waiting parts of a service without servers are given up; ended searches do not count as a queue; the sending of parts moves to parts.py. Conclusion: for about 2 s after a cut, searches that reach into the cut domain still wait.

--- a/bench/aims.py
+++ b/bench/aims.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from bench.deployments import DEADLINE_MS, DEPLOYMENTS, Deployment
+from bench.deployments import DEADLINE_MS, DEPLOYMENTS, Deployment, reachable_share
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -26,6 +26,7 @@
     yield from _steady(rows, deployment)
     yield from _slowed(rows, deployment)
     yield from _crest(rows, deployment)
+    yield from _cut(rows, deployment)
 
 
 def _steady(rows: Rows, deployment: Deployment) -> Iterator[tuple[str, str, bool]]:
@@ -65,3 +66,13 @@
     yield "crest: coverage of answers over 99%", f"{coverage:.2%}", coverage > 0.99
     back = after["p99_ms"] / steady["p99_ms"]
     yield "swing: p99 back to 1.25 times steady after 2 s", f"{back:.2f}", back <= 1.25
+
+
+def _cut(rows: Rows, deployment: Deployment) -> Iterator[tuple[str, str, bool]]:
+    row = rows.get((f"{deployment.name}/cut/inside", "product"))
+    if row is None:
+        return
+    reachable = reachable_share(deployment, deployment.domains[-1])
+    yield "cut off: callers answered in time", f"{row['in_time']:.2%}", row["in_time"] >= 0.99
+    share = row["coverage_mean"] / reachable
+    yield "cut off: coverage of what is reachable", f"{share:.2%}", share >= 0.99
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -153,3 +153,11 @@
     """Return the name of an index version's snapshot."""
     lists = {name: list(shards) for name, shards in shard_map(deployment).items()}
     return snapshot_name(version, lists)
+
+
+def reachable_share(deployment: Deployment, domain: str) -> float:
+    """Return the share of the first front's services that have a server in a domain."""
+    front, services = deployment.fronts[0].name, definitions(deployment).services
+    own = [item for item in services if item.name.rpartition("-")[0] == front]
+    reachable = [item for item in own if any(server.domain == domain for server in item.servers)]
+    return len(reachable) / len(own)
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -19,7 +19,7 @@
 from bench.policies import POLICIES, Policy
 from bench.report import Sample, figures, table
 from bench.scenarios import SCENARIOS, WARM_UP_MS, Scenario
-from bench.world import World
+from bench.world import Record, World
 
 OUTPUT = Path("build/measure.json")
 
@@ -42,14 +42,20 @@
     after.subtract(before)
     windows = {"": (WARM_UP_MS, scenario.length_ms), **scenario.windows}
     return {
-        name: Sample(_records(world, start, end), after, end - start)
+        name: Sample(_records(world, start, end, name in scenario.inside), after, end - start)
         for name, (start, end) in windows.items()
     }
 
 
-def _records(world: World, start: float, end: float) -> list[Any]:
+def _records(world: World, start: float, end: float, inside: bool) -> list[Record]:
     front = world.deployment.fronts[0].name
-    return [item for item in world.records if item.front == front and start <= item.asked_at < end]
+    return [
+        item
+        for item in world.records
+        if item.front == front
+        and start <= item.asked_at < end
+        and (not inside or item.domain == world.network.cut_domain)
+    ]
 
 
 def _counters(world: World) -> Counter[str]:
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -56,7 +56,7 @@
                 stack.enter_context(patch(path, function))
             if self.fixed_hedge_ms is not None:
                 start = _start_with_fixed_hedge(self.fixed_hedge_ms)
-                stack.enter_context(patch("turmerictiller.searches.start_attempt", start))
+                stack.enter_context(patch("turmerictiller.parts.start_attempt", start))
                 handlers = {TimerKind.HEDGE: _hedge}
                 stack.enter_context(patch.dict(HANDLER_BY_TIMER, handlers))
             yield
@@ -130,7 +130,7 @@
     return {
         "turmerictiller.attempts.choose_server": choose,
         "turmerictiller.attempts.choose_probe": lambda state, service, snapshot: None,
-        "turmerictiller.searches.plan_hedge": lambda state, search, part: None,
+        "turmerictiller.parts.plan_hedge": lambda state, search, part: None,
     }
 
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from turmerictiller import events
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -18,6 +20,14 @@
 RAMP_MS = 1_000.0
 CREST_FACTOR = 5.0
 CREST_MS = 2_500.0
+EVENT_MS = 3_000.0
+LOST_SHARE = 0.5
+LOST_MS = 1_500.0
+PLATFORM_RETRY_MS = 500.0
+DETECTED_MS = 2_500.0
+POISON = "query that ends its server"
+POISON_INTERVAL_MS = 300.0
+INDEX_CHANGE_MS = 2_000.0
 
 
 def _even(now: float) -> float:
@@ -35,6 +45,7 @@
     :param demand: factor on the ordinary demand at a time.
     :param script: schedules what happens to servers and network.
     :param windows: spans of asking times that are reported apart, by name.
+    :param inside: windows that count only callers in the domain that is cut off.
     """
 
     name: str
@@ -42,6 +53,7 @@
     demand: Callable[[float], float] = _even
     script: Callable[[World], None] = _nothing
     windows: dict[str, tuple[float, float]] = field(default_factory=dict)
+    inside: frozenset[str] = frozenset()
 
 
 def _slow_one(world: World, slowed: dict[str, str]) -> None:
@@ -87,6 +99,57 @@
     return 2.0
 
 
+def _lose_replicas(world: World) -> None:
+    for server in world.servers_by_id.values():
+        if server.id.endswith("-s0") and world.rng.random() < LOST_SHARE:
+            server.crash(LOST_MS)
+
+
+def _lost(world: World) -> None:
+    world.clock.at(EVENT_MS, _lose_replicas, world)
+
+
+def _restart(world: World) -> None:
+    world.clock.at(EVENT_MS, world.replace_instances)
+
+
+def _platform_fails(world: World) -> None:
+    for instance in world.instances:
+        instance.dispatch(events.PlatformFailed(world.clock.now, "timed out"))
+    world.clock.after(PLATFORM_RETRY_MS, _platform_fails, world)
+
+
+def _platform_out(world: World) -> None:
+    world.clock.at(EVENT_MS, _platform_fails, world)
+
+
+def _set_cut(world: World, domain: str) -> None:
+    world.network.cut_domain = domain
+
+
+def _cut(world: World) -> None:
+    world.clock.at(EVENT_MS, _set_cut, world, world.deployment.domains[-1])
+
+
+def _ask_poison(world: World) -> None:
+    world.ask(world.deployment.fronts[0].name, POISON)
+    world.clock.after(POISON_INTERVAL_MS, _ask_poison, world)
+
+
+def _crashing(world: World) -> None:
+    for server in world.servers_by_id.values():
+        server.crash_query = POISON
+    world.clock.at(EVENT_MS, _ask_poison, world)
+
+
+def _index_change(world: World) -> None:
+    for server in world.servers_by_id.values():
+        arrives_at = EVENT_MS + world.rng.uniform(0, INDEX_CHANGE_MS)
+        world.clock.at(arrives_at, world.set_server_version, server, 2, 2)
+        goes_at = EVENT_MS + INDEX_CHANGE_MS + world.rng.uniform(0, INDEX_CHANGE_MS)
+        world.clock.at(goes_at, world.set_server_version, server, 2, 1)
+
+
 STEADY = Scenario("steady")
 SLOWED = Scenario("slowed", script=_slowed)
 CAPACITY = Scenario("capacity", length_ms=6_000.0, demand=_at_capacity)
@@ -99,4 +162,26 @@
         "after": (RECOVERED_MS, RECOVERED_MS + 2_000.0),
     },
 )
-SCENARIOS = (STEADY, SLOWED, CAPACITY, SWING)
+LOST = Scenario("lost", script=_lost)
+RESTART = Scenario("restart", script=_restart)
+PLATFORM = Scenario("platform", script=_platform_out)
+CUT = Scenario(
+    "cut",
+    script=_cut,
+    windows={"inside": (EVENT_MS + DETECTED_MS, 8_000.0)},
+    inside=frozenset({"inside"}),
+)
+CRASHING = Scenario("crashing", script=_crashing)
+INDEX = Scenario("index", script=_index_change)
+SCENARIOS = (
+    STEADY,
+    SLOWED,
+    CAPACITY,
+    SWING,
+    LOST,
+    RESTART,
+    PLATFORM,
+    CUT,
+    CRASHING,
+    INDEX,
+)
--- a/turmerictiller/admission.py
+++ b/turmerictiller/admission.py
@@ -78,7 +78,7 @@
 def predicted_wait_ms(state: State, service: str, priority: Priority) -> float:
     """Return how long one more part would wait for a server, from the own completion rate."""
     service_state = state.services_by_name.get(service)
-    if service_state is None or not service_state.waiting:
+    if service_state is None or next_waiting(state, service_state) is None:
         return 0.0
     rank = RANK_BY_PRIORITY[priority]
     ahead = sum(entry[0] <= rank for entry in service_state.waiting)
--- a/turmerictiller/membership.py
+++ b/turmerictiller/membership.py
@@ -70,10 +70,14 @@
 
 
 def on_health_failed(state: State, event: HealthFailed) -> None:
-    """Take a server that does not answer polls out of use."""
+    """Take a server out of use that has answered neither polls nor calls for an interval.
+
+    Outstanding calls are no sign of life: at a server that is cut off they just stay unanswered.
+    """
     server = state.servers_by_id.get(event.server_id)
-    if server is not None and not server.attempt_ids:
+    if server is not None and state.now - server.status_at >= state.settings.health_interval_ms:
         server.reachable = False
+        state.freed_services[server.service] = None
 
 
 def restart_estimates(state: State, server: ServerState) -> None:
--- a/turmerictiller/searches.py
+++ b/turmerictiller/searches.py
@@ -5,26 +5,23 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-from turmerictiller.admission import enqueue, next_waiting, refuse_early, remove_next
+from turmerictiller.admission import next_waiting, refuse_early, remove_next
 from turmerictiller.attempts import (
-    budget_of,
     cancel_attempts,
     close_attempt,
     is_valid_answer,
     observe_answer,
     observe_failure,
-    start_attempt,
 )
 from turmerictiller.effects import ReplyRefusal, ReplySearch
 from turmerictiller.errors import CursorError, Ran, Refusal, RefusalType
 from turmerictiller.events import FailureKind
 from turmerictiller.fronts import Priority
-from turmerictiller.hedging import plan_hedge
 from turmerictiller.membership import observe_status
 from turmerictiller.merge import Cursor, decode_cursor, encode_cursor, hits_after, rank, top_k
+from turmerictiller.parts import serve_part, start_or_wait, start_part
 from turmerictiller.quarantine import begin_test, end_test, quarantined_for_ms, service_to_test
 from turmerictiller.retries import may_retry
-from turmerictiller.routing import servers_with
 from turmerictiller.snapshot import choose_snapshot, coverage_of, shards_of
 from turmerictiller.state import Search, ServicePart, State, TimerKind
 
@@ -158,7 +155,7 @@
         return
     for part in search.parts_by_service.values():
         if not part.resolved:
-            _start_or_wait(state, search, part, "no_capacity")
+            start_or_wait(state, search, part, "no_capacity")
     _finish_if_resolved(state, search)
 
 
@@ -167,7 +164,7 @@
     service = service_to_test(state, search.fingerprint)
     parts = list(search.parts_by_service.values())
     part = search.parts_by_service.get(service or parts[0].service, parts[0])
-    if not _start(state, search, part):
+    if not start_part(state, search, part):
         part.missing_reason = "no_capacity"
         finish(state, search)
 
@@ -177,31 +174,7 @@
     search.is_test = False
     for part in search.parts_by_service.values():
         if not part.resolved:
-            _start_or_wait(state, search, part, "no_capacity")
-
-
-def _start_or_wait(state: State, search: Search, part: ServicePart, reason: str) -> None:
-    part.missing_reason = reason
-    if _start(state, search, part):
-        return
-    if not _has_untried_server(state, search, part):
-        part.missing_reason = reason if part.tried_server_ids else "unreachable"
-        part.resolved = True
-    elif not enqueue(state, search, part):
-        part.resolved = True
-
-
-def _start(state: State, search: Search, part: ServicePart) -> bool:
-    if not start_attempt(state, search, part):
-        return False
-    part.missing_reason = "timed_out"
-    plan_hedge(state, search, part)
-    return True
-
-
-def _has_untried_server(state: State, search: Search, part: ServicePart) -> bool:
-    servers = servers_with(state, part.service, search.snapshot)
-    return any(server.id not in part.tried_server_ids for server in servers)
+            start_or_wait(state, search, part, "no_capacity")
 
 
 def serve_waiting(state: State) -> None:
@@ -211,13 +184,10 @@
         service = state.services_by_name.get(name)
         while service is not None and (found := next_waiting(state, service)) is not None:
             search, part = found
-            is_useless = budget_of(state, search) < service.times.quantile(0.5)
-            if not is_useless and not _start(state, search, part):
+            if not serve_part(state, search, part):
                 break
             remove_next(service)
-            if is_useless:
-                part.resolved = True
-                _finish_if_resolved(state, search)
+            _finish_if_resolved(state, search)
 
 
 def on_attempt_answered(state: State, event: AttemptAnswered) -> None:
@@ -321,7 +291,7 @@
         finish(state, search)
         return
     if len(search.lost_server_ids) < MAX_LOST_SERVERS and may_retry(state, part, kind):
-        _start_or_wait(state, search, part, part.missing_reason)
+        start_or_wait(state, search, part, part.missing_reason)
     else:
         part.resolved = True
 
