Answer with partial coverage when the rest is not worth the wait

Cause: a search whose last part was stuck waited until its deadline although its floor was met. Change: late parts are expected to take as long again; the answer leaves when that is longer than 2,000 ms times the missing share, with the reason not_waited_for. Mutants killed: one patience for any share, floor ignored, every call late, queued parts ignored, reason hidden, one check only.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -131,6 +131,7 @@
         "turmerictiller.attempts.choose_server": choose,
         "turmerictiller.attempts.choose_probe": lambda state, service, snapshot: None,
         "turmerictiller.parts.plan_hedge": lambda state, search, part: None,
+        "turmerictiller.searches.should_stop": lambda state, search: False,
     }
 
 
--- /dev/null
+++ b/tests/test_patience.py
@@ -0,0 +1,71 @@
+"""Tests of answers with partial coverage before the deadline."""
+
+from __future__ import annotations
+
+from tests.reducing import Harness
+from turmerictiller import effects
+
+SERVICES = 10
+
+
+def stalled(missing: int, floor: float = 0.5, typical_ms: float = 10.0) -> Harness:
+    """Return an instance whose search has all but some parts after 10 ms, and no hedges."""
+    harness = Harness()
+    harness.start(services=SERVICES, servers=1, coverage_floor=floor)
+    for service in harness.state.services_by_name.values():
+        for _ in range(30):
+            service.times.add(typical_ms)
+    attempts = harness.search(1, deadline_ms=3_000.0)
+    harness.advance(10)
+    for attempt in attempts[missing:]:
+        harness.answer(attempt)
+    return harness
+
+
+def test_last_late_part_is_not_waited_for_until_the_deadline() -> None:
+    """Guards against a stalled server that holds up answers for seconds; the loss is named."""
+    harness = stalled(missing=1)
+    harness.advance(1_000)
+    (reply,) = harness.take(effects.ReplySearch)
+    assert 200 < reply.took_ms < 400
+    assert reply.coverage.share == 0.9
+    assert {item.reason for item in reply.coverage.missing} == {"not_waited_for"}
+    assert len(harness.take(effects.CancelAttempt)) == 1
+
+
+def test_more_missing_coverage_is_waited_for_longer() -> None:
+    """Guards against one patience whatever is missing."""
+    harness = stalled(missing=4)
+    harness.advance(600)
+    assert harness.take(effects.ReplySearch) == []
+    harness.advance(400)
+    (reply,) = harness.take(effects.ReplySearch)
+    assert reply.coverage.share == 0.6
+
+
+def test_search_below_its_floor_waits_until_the_deadline() -> None:
+    """Guards against a refusal for lack of coverage while there is time."""
+    harness = stalled(missing=1, floor=0.95)
+    harness.advance(2_900)
+    assert harness.take(effects.ReplySearch) == []
+    assert harness.take(effects.ReplyRefusal) == []
+
+
+def test_call_that_is_not_late_for_its_service_is_waited_for() -> None:
+    """Guards against lost coverage at a service that always takes long."""
+    harness = stalled(missing=1, typical_ms=800.0)
+    harness.advance(1_500)
+    assert harness.take(effects.ReplySearch) == []
+
+
+def test_part_that_waits_for_a_server_keeps_the_search_waiting() -> None:
+    """Guards against parts given up while a queue still moves."""
+    harness = stalled(missing=2)
+    part = harness.state.searches_by_id[1].parts_by_service["jobs-1"]
+    (attempt_id,) = part.attempt_ids
+    part.attempt_ids.clear()
+    harness.advance(1_500)
+    assert harness.take(effects.ReplySearch) == []
+    part.attempt_ids.append(attempt_id)
+    harness.advance(100)
+    assert len(harness.take(effects.ReplySearch)) == 1
--- a/turmerictiller/searches.py
+++ b/turmerictiller/searches.py
@@ -20,6 +20,7 @@
 from turmerictiller.membership import observe_status
 from turmerictiller.merge import Cursor, decode_cursor, encode_cursor, hits_after, rank, top_k
 from turmerictiller.parts import serve_part, start_or_wait, start_part
+from turmerictiller.patience import give_up_missing, should_stop, watch
 from turmerictiller.quarantine import begin_test, end_test, quarantined_for_ms, service_to_test
 from turmerictiller.retries import may_retry
 from turmerictiller.snapshot import choose_snapshot, coverage_of, shards_of
@@ -211,6 +212,7 @@
     cancel_attempts(state, part)
     if search.is_test:
         _continue_after_test(state, search)
+    watch(state, search)
     _finish_if_resolved(state, search)
 
 
@@ -296,6 +298,20 @@
         part.resolved = True
 
 
+def on_patience_check(state: State, call_id: int) -> None:
+    """Answer a search if the rest is not worth the wait, else look again later."""
+    search = state.searches_by_id.get(call_id)
+    if search is None:
+        return
+    if should_stop(state, search):
+        give_up_missing(search)
+        state.counters["searches.stopped_waiting"] += 1
+        finish(state, search)
+        return
+    search.is_watched = False
+    watch(state, search)
+
+
 def on_search_deadline(state: State, call_id: int) -> None:
     """Answer a search whose time is over with what it has."""
     search = state.searches_by_id.get(call_id)
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -29,6 +29,7 @@
     HOUSEKEEPING = "housekeeping"
     SEARCH_DEADLINE = "search_deadline"
     HEDGE = "hedge"
+    PATIENCE = "patience"
     ATTEMPT_TIMEOUT = "attempt_timeout"
     RUN_DEADLINE = "run_deadline"
     HEALTH_POLL = "health_poll"
@@ -137,6 +138,7 @@
     fingerprint: str
     after: tuple[float, str, str] | None = None
     restarted: bool = False
+    is_watched: bool = False
     is_test: bool = False
     parts_by_service: dict[str, ServicePart] = field(default_factory=dict)
     hits: list[Hit] = field(default_factory=list)
