--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -163,3 +163,14 @@
         (hedge,) = harness.take(effects.SendSearch)
         servers = harness.state.servers_by_id
         assert servers[first.server_id].domain != servers[hedge.server_id].domain
+
+
+def test_times_under_a_queue_do_not_delay_hedges_after_it() -> None:
+    """Guards against an overload that switches hedging off for seconds after its end."""
+    harness = warmed()
+    server = harness.state.servers_by_id["jobs-0-s0"]
+    service_of(harness).waiting.append((0, 1.0, 1))
+    for _ in range(100):
+        observe_latency(harness.state, server, 300.0)
+    assert service_of(harness).calm_times.quantile(0.99) < 20
+    assert service_of(harness).times.quantile(0.99) > 200
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.reducing import Harness
+from turmerictiller.events import HealthReported, UpstreamStatus
 from turmerictiller.routing import (
     choose_probe,
     choose_server,
@@ -101,3 +102,15 @@
     harness, servers = started(servers=9)
     observe_latency(harness.state, servers[0], 9.0)
     assert len({chosen(harness) for _ in range(50)}) > 3
+
+
+def test_restarted_server_starts_with_new_estimates() -> None:
+    """Guards against a cold server that is judged by the times of its last incarnation."""
+    harness, servers = started()
+    servers[0].ejected = True
+    harness.advance(100)
+    status = UpstreamStatus("another", False, servers[0].snapshots)
+    harness.send(HealthReported(harness.at, servers[0].id, status))
+    assert (servers[0].samples, servers[0].ejected) == (0, False)
+    assert servers[0].started_at == harness.at
+    assert chosen(harness) != servers[0].id
