--- /dev/null
+++ b/turmerictiller/ended_timers.py
@@ -0,0 +1,40 @@
+"""Removal of timers whose call has ended, so that their number follows the calls in flight."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from turmerictiller.state import TimerKind
+
+if TYPE_CHECKING:
+    from turmerictiller.state import State
+
+MIN_TIMERS = 256  # fewer are not worth a look at each
+
+
+def drop_ended(state: State) -> None:
+    """Drop the timers of ended calls once as many as the live ones may have gathered.
+
+    A deadline lasts for seconds after its call was answered, and the rate of calls has no bound.
+    """
+    timers = state.timers
+    if len(timers) < timers.clean_at:
+        return
+    timers.keep(lambda kind, key: _is_wanted(state, kind, key))
+    timers.clean_at = max(MIN_TIMERS, 2 * len(timers))
+
+
+def _is_wanted(state: State, kind: TimerKind, key: Any) -> bool:
+    if kind is TimerKind.SEARCH_DEADLINE:
+        return key in state.searches_by_id
+    if kind is not TimerKind.RUN_DEADLINE:
+        return True
+    match key:
+        case ("forward", call_id):
+            return call_id in state.tickets.forwards_by_call
+        case ("waiter", waiter_key):
+            return waiter_key in state.tickets.sequences_by_waiter
+        case ("run", sequence):
+            record = state.tickets.records_by_sequence.get(sequence)
+            return record is not None and record.run is not None
+    return True
--- a/turmerictiller/membership.py
+++ b/turmerictiller/membership.py
@@ -20,6 +20,7 @@
     from turmerictiller.fronts import Configuration, Server
 
 KEPT_DRAINING_INCARNATIONS = 4
+MAX_SNAPSHOT_CHARS = 64
 
 
 def install_configuration(state: State, configuration: Configuration) -> None:
@@ -33,9 +34,9 @@
         service_state = kept or ServiceState(service.name, ())
         service_state.server_ids = tuple(service.servers_by_id)
         services[service.name] = service_state
-    for server_id in state.servers_by_id.keys() - wanted.keys():
-        address = state.servers_by_id[server_id].address
-        state.out.append(ResetConnections(server_id, address))
+    for known in state.servers_by_id.values():
+        if wanted.get(known.id) is not known:
+            state.out.append(ResetConnections(known.id, known.address))
     state.servers_by_id = wanted
     state.services_by_name = services
 
@@ -53,10 +54,12 @@
 def on_health_poll(state: State, server_id: str) -> None:
     """Poll a server unless its answers have told its status lately."""
     server = state.servers_by_id.get(server_id)
-    if server is None:
+    # The timer of a server that a note replaced under the same id runs on; only one counts.
+    if server is None or state.now < server.next_poll_at:
         return
     interval = state.settings.health_interval_ms
-    state.timers.add(state.now + interval, TimerKind.HEALTH_POLL, server_id)
+    server.next_poll_at = state.now + interval
+    state.timers.add(server.next_poll_at, TimerKind.HEALTH_POLL, server_id)
     if state.now - server.status_at >= interval:
         state.out.append(PollHealth(server.id, server.address))
 
@@ -88,12 +91,18 @@
         server.draining = status.incarnation in server.draining_incarnations
     if status.draining:
         mark_draining(state, server_id, status.incarnation)
-    server.snapshots = status.snapshots
+    server.snapshots = _bounded(state, status.snapshots)
     server.reported_load = status.load
     server.reported_load_at = state.now - status.age_ms
     request_missing_maps(state, server)
 
 
+def _bounded(state: State, snapshots: tuple[str, ...]) -> tuple[str, ...]:
+    # A version of thousands of digits is not only large: Python refuses to read it as a number.
+    names = [name for name in snapshots if len(name) <= MAX_SNAPSHOT_CHARS]
+    return tuple(names[: state.settings.max_snapshots])
+
+
 def mark_draining(state: State, server_id: str, incarnation: str) -> None:
     """Take no new work to an incarnation of a server; other incarnations are not affected."""
     server = state.servers_by_id.get(server_id)
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -19,6 +19,7 @@
     tickets,
 )
 from turmerictiller.effects import WakeAt
+from turmerictiller.ended_timers import drop_ended
 from turmerictiller.state import TimerKind
 
 if TYPE_CHECKING:
@@ -99,6 +100,7 @@
         handler(state, event)
         lifecycle.observe_note(state)
         _run_due_timers(state)
+    drop_ended(state)
     _request_wake(state)
     effects, state.out = state.out, []
     return effects
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -14,6 +14,8 @@
 from turmerictiller.ticket_table import TicketTable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from turmerictiller.clock import Millis
     from turmerictiller.config import Settings
     from turmerictiller.effects import Effect
@@ -63,10 +65,14 @@
 
 @dataclass(slots=True)
 class Timers:
-    """A queue of due times; a timer whose subject is gone is ignored when it runs out."""
+    """A queue of due times; a timer whose subject is gone is ignored when it runs out.
+
+    :param clean_at: number of timers at which those of ended calls are dropped.
+    """
 
     _heap: list[tuple[float, int, TimerKind, Any]] = field(default_factory=list)
     _sequence: int = 0
+    clean_at: int = 256
 
     def add(self, at: Millis, kind: TimerKind, key: Any = None) -> None:
         self._sequence += 1
@@ -81,6 +87,10 @@
     def next_at(self) -> Millis | None:
         return self._heap[0][0] if self._heap else None
 
+    def keep(self, is_wanted: Callable[[TimerKind, Any], bool]) -> None:
+        self._heap = [item for item in self._heap if is_wanted(item[2], item[3])]
+        heapq.heapify(self._heap)
+
     def __len__(self) -> int:
         return len(self._heap)
 
@@ -172,6 +182,7 @@
     last_answered_sent_at: Millis = float("-inf")
     lost_at: Millis = float("-inf")
     reset_at: Millis = float("-inf")
+    next_poll_at: Millis = float("-inf")
 
 
 @dataclass(slots=True)
