--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -157,6 +157,11 @@
                 self._gossip(index, effect)
             elif isinstance(effect, effects.FetchNote):
                 self._fetch(index, effect)
+            else:
+                self.on_effect(index, effect)
+
+    def on_effect(self, index: int, effect: effects.Effect) -> None:
+        """Carry out another effect of an instance; the fleet has no upstreams of its own."""
 
     def _gossip(self, index: int, effect: effects.SendGossip) -> None:
         target = self._index(effect.address)
