--- a/bench/processes.py
+++ b/bench/processes.py
@@ -36,6 +36,10 @@
         process.kill()
         process.wait()
 
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal, such as SIGSTOP."""
+        self.by_name[name].send_signal(number)
+
     def ended(self) -> list[str]:
         """Return the processes that have ended by themselves."""
         return [name for name, process in self.by_name.items() if process.poll() is not None]
