--- a/turmerictiller/snapshot.py
+++ b/turmerictiller/snapshot.py
@@ -51,34 +51,42 @@
 
 
 def _evict_old_maps(state: State) -> None:
+    """Keep the maps of snapshots that the most services report, then the newest.
+
+    By age alone, one server that reports many high versions would displace the map in use.
+    """
     maps = state.shard_maps_by_snapshot
     while len(maps) > state.settings.max_snapshots:
-        del maps[min(maps, key=version_of)]
+        del maps[min(maps, key=lambda name: (_services_reporting(state, name), version_of(name)))]
+
+
+def _services_reporting(state: State, snapshot: str) -> int:
+    servers = state.servers_by_id.values()
+    return len({server.service for server in servers if snapshot in server.snapshots})
 
 
 def choose_snapshot(state: State, front: Front, newer_than: str | None = None) -> str | None:
-    """Return the newest snapshot that covers the most shards of the front, or ``None``.
+    """Return the newest snapshot that every service serves, else the one with the most shards.
 
-    A service counts if a server that takes work serves the snapshot.
+    A service counts if a server that takes work serves the snapshot; without this a server that
+    reports a map of its own shards only would make that the snapshot of all searches.
     """
     served_by_service = {name: _snapshots_served(state, name) for name in front.services_by_name}
-    best: tuple[float, int, str] | None = None
+    best: tuple[bool, int, int, str] | None = None
     for snapshot, shard_map in state.shard_maps_by_snapshot.items():
         version = version_of(snapshot)
         if newer_than is not None and version <= version_of(newer_than):
             continue
-        total = sum(len(shard_map.get(name, ())) for name in front.services_by_name)
-        covered = sum(
-            len(shard_map.get(name, ()))
-            for name, served in served_by_service.items()
-            if snapshot in served
-        )
+        serving = [name for name, served in served_by_service.items() if snapshot in served]
+        covered = sum(len(shard_map.get(name, ())) for name in serving)
         if covered == 0:
             continue
-        candidate = (covered / total, version, snapshot)
+        is_served_by_all = len(serving) == len(served_by_service)
+        # Among snapshots that all serve, the version decides, not the number of shards.
+        candidate = (is_served_by_all, 0 if is_served_by_all else covered, version, snapshot)
         if best is None or candidate > best:
             best = candidate
-    return best[2] if best else None
+    return best[3] if best else None
 
 
 def _snapshots_served(state: State, service: str) -> set[str]:
