--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -20,6 +20,7 @@
     tickets,
 )
 from turmerictiller.effects import WakeAt
+from turmerictiller.ended_timers import drop_ended
 from turmerictiller.state import TimerKind
 
 if TYPE_CHECKING:
@@ -103,6 +104,7 @@
         lifecycle.observe_note(state)
         _run_due_timers(state)
     searches.serve_waiting(state)
+    drop_ended(state)
     _request_wake(state)
     effects, state.out = state.out, []
     return effects
