Add up blame when most services of a search lose a server; gossip in the measuring tool

Ruled out: counting each lost server again (it quarantines a search in flight at a rack failure). Change: the shares of one loss add up if at least three quarters of the services that the search asked lost a server; instances of the tool hear the instance list and each other's gossip.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -168,6 +168,9 @@
             call.instance.fail(call, FailureKind.LOST)
 
 
+Delivery = effects.ReplySearch | effects.ReplyRefusal | effects.SendGossip
+
+
 @dataclass(eq=False)
 class FakeInstance:
     """The shell of one entry instance: carries out the reducer's effects in virtual time."""
@@ -176,7 +179,7 @@
     network: Network
     clock: Clockwork
     servers_by_id: dict[str, FakeServer]
-    reply: Callable[[FakeInstance, effects.ReplySearch | effects.ReplyRefusal], None]
+    deliver: Callable[[FakeInstance, Delivery], None]
     counters: Counter[str] = field(default_factory=Counter)
     sent_parts: set[tuple[int, str]] = field(default_factory=set)
     _idle: Counter[tuple[str, int]] = field(default_factory=Counter)
@@ -190,8 +193,8 @@
                     self._send(effect)
                 case effects.CancelAttempt():
                     self._cancel(effect.attempt_id)
-                case effects.ReplySearch() | effects.ReplyRefusal():
-                    self.reply(self, effect)
+                case effects.ReplySearch() | effects.ReplyRefusal() | effects.SendGossip():
+                    self.deliver(self, effect)
                 case effects.WakeAt():
                     self.clock.at(effect.at, self._wake, effect.at)
                 case effects.FetchShardMap():
--- a/bench/world.py
+++ b/bench/world.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from bench.deployments import DEADLINE_MS, Network, note_document, shard_map, snapshot
-from bench.fakes import FakeInstance, FakeServer
+from bench.fakes import Delivery, FakeInstance, FakeServer
 from bench.virtual_time import Clockwork
 from turmerictiller import effects, events
 from turmerictiller.config import load_settings
@@ -69,7 +69,7 @@
     def start(self) -> None:
         """Start instances and callers."""
         self.set_version(FIRST_VERSION)
-        self.instances = [self.new_instance(slot) for slot in range(self.deployment.instances)]
+        self._start_instances()
         for server in self.servers_by_id.values():
             server.report_load()
         for shape in self.deployment.fronts:
@@ -115,12 +115,13 @@
                 "instance_id": f"e{slot}",
                 "failure_domain": domains[slot % len(domains)],
                 "incarnation": f"i{self._next_number}",
+                "peer_address": f"10.0.0.{slot + 1}:8081",
                 "seed": self.seed * 1_000 + self._next_number,
                 **self.settings,
             }
         )
         instance = FakeInstance(
-            new_state(settings), self.network, self.clock, self.servers_by_id, self._on_reply
+            new_state(settings), self.network, self.clock, self.servers_by_id, self._deliver
         )
         instance.dispatch(events.NoteSeen(self.clock.now, "platform", self.note))
         for server in self.servers_by_id.values():
@@ -132,7 +133,19 @@
     def replace_instances(self) -> None:
         """Restart all instances; the old ones finish what they have begun."""
         self.retired += self.instances
+        self._start_instances()
+
+    def _start_instances(self) -> None:
         self.instances = [self.new_instance(slot) for slot in range(self.deployment.instances)]
+        every = [instance.state.settings for instance in self.instances]
+        rows = tuple(
+            events.ListedInstance(
+                item.instance_id, "entry", item.peer_address, item.failure_domain, False
+            )
+            for item in every
+        )
+        for instance in self.instances:
+            instance.dispatch(events.InstanceListSeen(self.clock.now, 1, rows))
 
     def _schedule_arrival(self, shape: FrontShape) -> None:
         per_ms = shape.capacity_per_s() * shape.load * self.demand(self.clock.now) / 1000
@@ -160,9 +173,24 @@
         )
         self.clock.at(event.at, instance.dispatch, event)
 
-    def _on_reply(
-        self, instance: FakeInstance, reply: effects.ReplySearch | effects.ReplyRefusal
-    ) -> None:
+    def _deliver(self, instance: FakeInstance, effect: Delivery) -> None:
+        if isinstance(effect, effects.SendGossip):
+            self._send_gossip(instance, effect)
+        else:
+            self._on_reply(effect)
+
+    def _send_gossip(self, sender: FakeInstance, effect: effects.SendGossip) -> None:
+        for receiver in self.instances:
+            settings = receiver.state.settings
+            domain = sender.state.settings.failure_domain
+            if settings.peer_address != effect.address or self.network.is_cut(
+                domain, settings.failure_domain
+            ):
+                continue
+            at = self.clock.now + self.network.delay_ms(domain, settings.failure_domain)
+            self.clock.at(at, receiver.dispatch, events.GossipReceived(at, effect.message))
+
+    def _on_reply(self, reply: effects.ReplySearch | effects.ReplyRefusal) -> None:
         record = self.records_by_call.pop(reply.call_id)
         record.took_ms = self.clock.now + self.deployment.client_ms - record.asked_at
         if isinstance(reply, effects.ReplyRefusal):
--- a/tests/test_peer_membership.py
+++ b/tests/test_peer_membership.py
@@ -141,7 +141,7 @@
         server.incarnation = "e" * 32
         server.draining_incarnations = ("e" * 32,)
     for number in range(50):
-        item = Suspect(f"{number:024}", [Loss(1, 1.5, {"s"})], {"a" * 20, "b" * 20}, 1e9)
+        item = Suspect(f"{number:024}", [Loss(1, 1, {"s": 1.5}, {"s"})], {"a" * 20, "b" * 20}, 1e9)
         harness.state.suspects_by_fingerprint[item.fingerprint] = item
     harness.take(effects.SendGossip)
     harness.advance(20_000)
--- a/turmerictiller/quarantine.py
+++ b/turmerictiller/quarantine.py
@@ -19,6 +19,7 @@
 
 ONE_LOSS_MS = 100.0  # losses of one server within this time are one loss
 BLAME_LIMIT = 1.5
+MOST_SERVICES = 0.75
 MAX_LOST_SERVERS = 16  # names of lost servers that are kept for operators
 MAX_LOSSES = 8  # the oldest loss of a suspect is forgotten
 FIRST_QUARANTINE_MS = 30_000.0
@@ -32,15 +33,26 @@
 class Loss:
     """Servers that were lost at one time while they ran a request.
 
+    A rack takes down a few servers of a search, a crashing request most of them. So the shares of
+    blame add up only if most services of the search lost a server.
+
     :param next_attempt_id: attempts from this one on were sent after the loss.
-    :param blame: 1 if the request was the only one on a lost server, else its share.
+    :param shares: for each lost service, 1 if the request was the only one on the server, else less.
+    :param parts: services that the search asked.
     :param services: services that lost a server and have not answered the request since.
     """
 
     next_attempt_id: int
-    blame: float
+    parts: int
+    shares: dict[str, float]
     services: set[str]
 
+    @property
+    def blame(self) -> float:
+        shares = self.shares.values()
+        is_most = len(shares) >= max(2, MOST_SERVICES * self.parts)
+        return sum(shares) if is_most else max(shares)
+
 
 @dataclass(slots=True)
 class Suspect:
@@ -99,10 +111,13 @@
 def _add_loss(state: State, suspect: Suspect, attempt: Attempt, blame: float) -> None:
     last = suspect.losses[-1] if suspect.losses else None
     if last is not None and attempt.id < last.next_attempt_id:
-        last.blame = max(last.blame, blame)
+        last.shares[attempt.service] = max(blame, last.shares.get(attempt.service, 0.0))
         last.services.add(attempt.service)
         return
-    suspect.losses.append(Loss(state.next_attempt_id, blame, {attempt.service}))
+    search = state.searches_by_id.get(attempt.call_id)
+    parts = len(search.parts_by_service) if search else 1
+    loss = Loss(state.next_attempt_id, parts, {attempt.service: blame}, {attempt.service})
+    suspect.losses.append(loss)
     del suspect.losses[:-MAX_LOSSES]
 
 
