--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -142,6 +142,19 @@
     assert harness.state.suspects_by_fingerprint == {}
 
 
+def test_crashing_request_is_found_at_its_first_scatter_under_load() -> None:
+    """Guards against scatter after scatter because other requests share the blame."""
+    fleet = CrashingFleet(services=8)
+    harness = fleet.harness
+    for number in range(100, 103):
+        harness.search(number, query=f"query {number}")
+    assert all(server.attempt_ids for server in harness.state.servers_by_id.values())
+    (reply,) = fleet.run(CRASHING)
+    assert isinstance(reply, effects.ReplyRefusal)
+    assert reply.refusal.type is RefusalType.QUARANTINED
+    assert len(fleet.lost_server_ids) <= 8 + 1
+
+
 def test_answer_takes_blame_back() -> None:
     """Guards against blame that adds up over hours of ordinary losses."""
     harness = Harness()
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -66,6 +66,24 @@
     assert harness.take(effects.ResetConnections)
 
 
+def test_calls_given_up_in_a_row_are_followed_by_a_poll_and_a_reset() -> None:
+    """Guards against silent connections that are never found because searches give up early."""
+    harness = one_server()
+    for call_id in range(1, 8):
+        (attempt,) = harness.search(call_id)
+        harness.answer(attempt)
+        harness.advance(1)
+    harness.take(effects.PollHealth)
+    for call_id in range(8, 11):
+        harness.search(call_id, deadline_ms=40.0)
+        harness.advance(40)
+    assert [poll.server_id for poll in harness.take(effects.PollHealth)] == [attempt.server_id]
+    assert harness.take(effects.ResetConnections) == []
+    status = events.UpstreamStatus("i", False, (attempt.snapshot,))
+    harness.send(events.HealthReported(harness.at, attempt.server_id, status))
+    assert len(harness.take(effects.ResetConnections)) == 1
+
+
 def test_reset_replaces_idle_connections_and_lets_calls_finish() -> None:
     """Guards against a reset that cuts off the calls that still run."""
     connections: set[object] = set()
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -13,7 +13,7 @@
 from turmerictiller.clock import Clock
 from turmerictiller.effects import SendRun
 from turmerictiller.events import AttemptFailed, Event, FailureKind
-from turmerictiller.upstreams import UpstreamClient
+from turmerictiller.upstreams import UpstreamClient, parse_search_answer
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -104,3 +104,13 @@
     listener.listen()
     event = asyncio.run(run_at(listener.getsockname()[1], timeout_ms=2_000))
     assert kind_of(event) is FailureKind.TIMED_OUT
+
+
+@pytest.mark.parametrize("score", ["nan", "1.5", None, True, [], float("nan"), float("inf")])
+def test_score_that_is_no_number_makes_an_answer_bad(score: object) -> None:
+    """Guards against hits without an order, which would merge differently on each instance."""
+    hit = {"score": score, "shard": "a/0", "id": "a/0#1"}
+    answer = {"snapshot": "1-a", "shards": ["a/0"], "hits": [hit]}
+    event = parse_search_answer(0.0, 1, answer)
+    assert isinstance(event, AttemptFailed)
+    assert event.kind is FailureKind.BAD_ANSWER
--- a/turmerictiller/attempts.py
+++ b/turmerictiller/attempts.py
@@ -133,6 +133,7 @@
         return
     on_answered(state, attempt)
     server.failures_in_row = 0
+    server.given_up_in_row = 0
     state.services_by_name[server.service].completed_at.append(state.now)
     on_accepted(state, server)
     if attempt.spans_pause:
--- a/turmerictiller/ended_timers.py
+++ b/turmerictiller/ended_timers.py
@@ -25,8 +25,10 @@
 
 
 def _is_wanted(state: State, kind: TimerKind, key: Any) -> bool:
-    if kind is TimerKind.SEARCH_DEADLINE:
+    if kind in (TimerKind.SEARCH_DEADLINE, TimerKind.PATIENCE):
         return key in state.searches_by_id
+    if kind is TimerKind.HEDGE:
+        return key[2] in state.attempts_by_id
     if kind is not TimerKind.RUN_DEADLINE:
         return True
     match key:
--- a/turmerictiller/silence.py
+++ b/turmerictiller/silence.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.effects import ResetConnections
+from turmerictiller.effects import PollHealth, ResetConnections
 
 if TYPE_CHECKING:
     from turmerictiller.state import Attempt, ServerState, State
@@ -12,6 +12,8 @@
 MIN_SILENCE_MS = 100.0
 SILENCE_FACTOR = 10.0  # a call this many times slower than usual counts as silent
 RESET_INTERVAL_MS = 1_000.0
+GIVEN_UP_FACTOR = 3.0
+GIVEN_UP_LIMIT = 3
 
 
 def is_silent(state: State, attempt: Attempt, server: ServerState) -> bool:
@@ -21,18 +23,37 @@
 
 def on_unanswered(state: State, attempt: Attempt, server: ServerState) -> bool:
     """Judge a call that ends without an answer; return whether its connection is to blame."""
-    if attempt.spans_pause or not is_silent(state, attempt, server):
+    if attempt.spans_pause:
+        return False
+    if not is_silent(state, attempt, server):
+        _suspect(state, attempt, server)
         return False
     state.counters["connections.silent"] += 1
     _reset(state, server)
     return True
 
 
+def _suspect(state: State, attempt: Attempt, server: ServerState) -> None:
+    """Poll a server at once if calls to it are given up one after the other.
+
+    A search may stop waiting for a call long before the call counts as silent.
+    """
+    if state.now - attempt.sent_at < GIVEN_UP_FACTOR * server.slow_ms:
+        return
+    server.given_up_in_row += 1
+    if server.given_up_in_row == GIVEN_UP_LIMIT:
+        state.out.append(PollHealth(server.id, server.address))
+
+
 def on_poll_answered(state: State, server: ServerState) -> None:
     """Replace kept connections if polls are answered while calls stay without an answer.
 
     Polls use connections of their own. The server may also be slow, so it is still charged.
     """
+    if server.given_up_in_row >= GIVEN_UP_LIMIT:
+        server.given_up_in_row = 0
+        _reset(state, server)
+        return
     for attempt_id in server.attempt_ids:
         attempt = state.attempts_by_id.get(attempt_id)
         if attempt is not None and _is_overdue(state, attempt, server):
--- a/turmerictiller/snapshot.py
+++ b/turmerictiller/snapshot.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from turmerictiller.effects import Coverage, FetchShardMap, MissingShard
@@ -15,6 +16,7 @@
     from turmerictiller.state import Search, ServerState, State
 
 MAP_RETRY_MS = 500.0
+WIDELY_SERVED_SHARE = 0.5
 
 
 def version_of(snapshot: str) -> int:
@@ -68,37 +70,44 @@
 def choose_snapshot(state: State, front: Front, newer_than: str | None = None) -> str | None:
     """Return the newest snapshot that every service serves, else the one with the most shards.
 
-    A service counts if a server that takes work serves the snapshot; without this a server that
-    reports a map of its own shards only would make that the snapshot of all searches.
+    A snapshot that at least half of the servers of every service serve goes first, because the few
+    servers that have moved on early could not bear all searches. A service counts if a server that
+    takes work serves the snapshot; without this a server that reports a map of its own shards only
+    would make that the snapshot of all searches.
     """
-    served_by_service = {name: _snapshots_served(state, name) for name in front.services_by_name}
-    best: tuple[bool, int, int, str] | None = None
+    shares = {name: _shares_served(state, name) for name in front.services_by_name}
+    best: tuple[int, int, int, str] | None = None
     for snapshot, shard_map in state.shard_maps_by_snapshot.items():
         version = version_of(snapshot)
         if newer_than is not None and version <= version_of(newer_than):
             continue
-        serving = [name for name, served in served_by_service.items() if snapshot in served]
+        serving = [name for name, share in shares.items() if snapshot in share]
         covered = sum(len(shard_map.get(name, ())) for name in serving)
         if covered == 0:
             continue
-        is_served_by_all = len(serving) == len(served_by_service)
+        rank = _rank([share.get(snapshot, 0.0) for share in shares.values()])
         # Among snapshots that all serve, the version decides, not the number of shards.
-        candidate = (is_served_by_all, 0 if is_served_by_all else covered, version, snapshot)
+        candidate = (rank, 0 if rank else covered, version, snapshot)
         if best is None or candidate > best:
             best = candidate
     return best[3] if best else None
 
 
-def _snapshots_served(state: State, service: str) -> set[str]:
+def _rank(shares: list[float]) -> int:
+    """Return 2 for a snapshot that every service serves widely, 1 for one that all serve, else 0."""
+    least = min(shares, default=0.0)
+    return 2 if least >= WIDELY_SERVED_SHARE else int(least > 0)
+
+
+def _shares_served(state: State, service: str) -> dict[str, float]:
+    """Return the share of the service's servers that serve each snapshot, of those that take work."""
     service_state = state.services_by_name.get(service)
     if service_state is None:
-        return set()
-    return {
-        snapshot
-        for server_id in service_state.server_ids
-        for snapshot in state.servers_by_id[server_id].snapshots
-        if state.servers_by_id[server_id].reachable and not state.servers_by_id[server_id].draining
-    }
+        return {}
+    servers = [state.servers_by_id[server_id] for server_id in service_state.server_ids]
+    usable = [server for server in servers if server.reachable and not server.draining]
+    counts = Counter(snapshot for server in usable for snapshot in set(server.snapshots))
+    return {snapshot: count / len(usable) for snapshot, count in counts.items()}
 
 
 def shards_of(state: State, snapshot: str, services: Iterable[str]) -> dict[str, tuple[str, ...]]:
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -194,6 +194,7 @@
     last_answered_sent_at: Millis = float("-inf")
     lost_at: Millis = float("-inf")
     reset_at: Millis = float("-inf")
+    given_up_in_row: int = 0
     next_poll_at: Millis = float("-inf")
 
 
--- a/turmerictiller/upstreams.py
+++ b/turmerictiller/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -269,13 +270,22 @@
     return shards_by_service
 
 
+def _score(value: Any) -> float:
+    # Hits without an order would be ranked differently on each instance.
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError("score is not a finite number")
+    return float(value)
+
+
 def parse_search_answer(
     at: float, attempt_id: int, answer: dict[str, Any]
 ) -> AttemptAnswered | AttemptFailed:
     """Return the event for an upstream's answer to a search."""
     try:
         hits = tuple(
-            Hit(float(hit["score"]), str(hit["shard"]), str(hit["id"]), dict(hit.get("fields", {})))
+            Hit(
+                _score(hit["score"]), str(hit["shard"]), str(hit["id"]), dict(hit.get("fields", {}))
+            )
             for hit in answer["hits"]
         )
         return AttemptAnswered(
