Give revisions of the platform stand-in a drawn start

Cause: the test of an older note failed in about half of its runs. A trace of the reads shows why: an instance that had read revision 1, and learned note 2 by gossip, asked the restarted stand-in for what differs from revision 1; the older note stood there as revision 1 again, so there was no news. Ruled out: a fault of the note rules (nothing was reverted), a longer wait (the news never comes). Change: the stand-in draws its first revision, and the page states that revisions do not recur. Conclusion: the test is unchanged; the stand-in was wrong.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import secrets
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,9 +21,12 @@
 
 @dataclass
 class Register:
-    """One watched value with its revision."""
+    """One watched value with its revision.
 
-    revision: int = 0
+    The first revision is drawn, because a restarted platform must not reuse those of its last run.
+    """
+
+    revision: int = field(default_factory=lambda: 1 + secrets.randbelow(2**40))
     value: Any = None
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
