--- a/tests/lengths.py
+++ b/tests/lengths.py
@@ -44,7 +44,7 @@
     r"services_by_name\[\]\.waiting": 6,
     r"services_by_name\[\]\.waiting\[\]": 3,
     r"services_by_name\[\]\.completed_at": MAX_COMPLETIONS,
-    r"services_by_name\[\]\.(times|calm_times)\.counts": BUCKETS,
+    r"services_by_name\[\]\.(times|unqueued_times)\.counts": BUCKETS,
     r"freed_services": 2,
     r"shard_maps_by_snapshot|maps_requested_at": 4,
     r"shard_maps_by_snapshot\[\](\[\])?": 3,
--- a/tests/test_patience.py
+++ b/tests/test_early_answers.py
@@ -34,7 +34,7 @@
 
 
 def test_more_missing_coverage_is_waited_for_longer() -> None:
-    """Guards against one patience whatever is missing."""
+    """Guards against one worth of a wait whatever is missing."""
     harness = stalled(missing=4)
     harness.advance(600)
     assert harness.take(effects.ReplySearch) == []
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -65,7 +65,7 @@
 def test_scarce_tokens_are_kept_for_calls_that_are_very_late() -> None:
     """Guards against the last tokens spent on calls that are about to be answered."""
     harness = warmed(tokens=SCARCE_TOKENS - 1)
-    typical = service_of(harness).calm_times.quantile(0.5)
+    typical = service_of(harness).unqueued_times.quantile(0.5)
     harness.search(1)
     harness.advance(SCARCE_FACTOR * typical - 2)
     assert harness.take(effects.SendSearch) == []
@@ -90,7 +90,7 @@
     """Guards against searches that pay for finding out whether a server has recovered."""
     harness = warmed(tokens=1.0)
     for _ in range(3):
-        service_of(harness).calm_times.add(200.0)
+        service_of(harness).unqueued_times.add(200.0)
     slow = harness.state.servers_by_id["jobs-0-s0"]
     slow.ejected, slow.probe_ms, slow.ejected_until = True, 200.0, 0.0
     (probe,) = harness.search(1)
@@ -172,5 +172,5 @@
     service_of(harness).waiting.append((0, 1.0, 1))
     for _ in range(100):
         observe_latency(harness.state, server, 300.0)
-    assert service_of(harness).calm_times.quantile(0.99) < 20
+    assert service_of(harness).unqueued_times.quantile(0.99) < 20
     assert service_of(harness).times.quantile(0.99) > 200
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -61,7 +61,7 @@
     assert not harness.state.servers_by_id[attempt.server_id].failures_in_row
 
 
-def test_limit_recovers_after_a_long_overload_and_falls_at_once_after_a_long_calm() -> None:
+def test_limit_recovers_after_a_long_overload_and_falls_at_once_after_a_quiet_time() -> None:
     """Guards against a limit that drifts beyond its bounds and then answers late."""
     harness = Harness()
     harness.start(services=1)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -87,7 +87,7 @@
 
 
 def test_quantiles_follow_the_last_windows() -> None:
-    """Guards against quantiles that hide a change behind hours of calm."""
+    """Guards against quantiles that hide a change behind quiet hours."""
     harness = MeasuredHarness()
     series = _series(harness.metrics, harness.metrics.answers_by_front, "booking")
     record(series, 1e12)
--- a/turmerictiller/patience.py
+++ b/turmerictiller/early_answers.py
@@ -21,7 +21,7 @@
     if search.is_watched or not _meets_floor(search):
         return
     search.is_watched = True
-    state.timers.add(state.now + CHECK_MS, TimerKind.PATIENCE, search.call_id)
+    state.timers.add(state.now + CHECK_MS, TimerKind.EARLY_ANSWER, search.call_id)
 
 
 def _meets_floor(search: Search) -> bool:
--- a/turmerictiller/ended_timers.py
+++ b/turmerictiller/ended_timers.py
@@ -25,7 +25,7 @@
 
 
 def _is_wanted(state: State, kind: TimerKind, key: Any) -> bool:
-    if kind in (TimerKind.SEARCH_DEADLINE, TimerKind.PATIENCE):
+    if kind in (TimerKind.SEARCH_DEADLINE, TimerKind.EARLY_ANSWER):
         return key in state.searches_by_id
     if kind is TimerKind.HEDGE:
         return key[2] in state.attempts_by_id
--- a/turmerictiller/hedging.py
+++ b/turmerictiller/hedging.py
@@ -39,7 +39,7 @@
 
     A probe of an ejected server waits less, because the server is expected to be slow.
     """
-    times = state.services_by_name[part.service].calm_times
+    times = state.services_by_name[part.service].unqueued_times
     if times.weight < MIN_SAMPLES:
         return None
     share = PROBE_QUANTILE if part.is_probe else HEDGE_QUANTILE
@@ -80,7 +80,7 @@
     service = state.services_by_name[attempt.service]
     if service.hedge_tokens >= SCARCE_TOKENS:
         return False
-    return state.now - attempt.sent_at < SCARCE_FACTOR * service.calm_times.quantile(
+    return state.now - attempt.sent_at < SCARCE_FACTOR * service.unqueued_times.quantile(
         TYPICAL_QUANTILE
     )
 
@@ -91,6 +91,6 @@
 
 
 def _check_again(state: State, key: HedgeKey) -> None:
-    times = state.services_by_name[key[1]].calm_times
+    times = state.services_by_name[key[1]].unqueued_times
     wait_ms = RECHECK_SHARE * times.quantile(TYPICAL_QUANTILE)
     state.timers.add(state.now + wait_ms, TimerKind.HEDGE, key)
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/reducer.py
@@ -84,7 +84,7 @@
 HANDLER_BY_TIMER: dict[TimerKind, Callable[[State, Any], None]] = {
     TimerKind.SEARCH_DEADLINE: searches.on_search_deadline,
     TimerKind.HEDGE: hedging.on_hedge_due,
-    TimerKind.PATIENCE: searches.on_patience_check,
+    TimerKind.EARLY_ANSWER: searches.on_early_answer_check,
     TimerKind.RUN_DEADLINE: tickets.on_deadline,
     TimerKind.GOSSIP: gossip.on_gossip_round,
     TimerKind.HEALTH_POLL: membership.on_health_poll,
--- a/turmerictiller/routing.py
+++ b/turmerictiller/routing.py
@@ -112,7 +112,7 @@
     service = state.services_by_name[server.service]
     service.times.add(latency_ms)
     if not service.waiting:
-        service.calm_times.add(latency_ms)
+        service.unqueued_times.add(latency_ms)
     readmit(state, server, latency_ms)
 
 
--- a/turmerictiller/searches.py
+++ b/turmerictiller/searches.py
@@ -12,6 +12,7 @@
     observe_answer,
     observe_failure,
 )
+from turmerictiller.early_answers import give_up_missing, should_stop, watch
 from turmerictiller.effects import ReplyRefusal, ReplySearch
 from turmerictiller.errors import Ran, Refusal, RefusalType
 from turmerictiller.events import FailureKind
@@ -19,7 +20,6 @@
 from turmerictiller.membership import observe_status
 from turmerictiller.merge import Cursor, encode_cursor, hits_after, rank, top_k
 from turmerictiller.parts import serve_part, start_or_wait, start_part
-from turmerictiller.patience import give_up_missing, should_stop, watch
 from turmerictiller.quarantine import begin_test, end_test, quarantined_for_ms, service_to_test
 from turmerictiller.retries import may_retry
 from turmerictiller.search_checks import (
@@ -213,7 +213,7 @@
         part.resolved = True
 
 
-def on_patience_check(state: State, call_id: int) -> None:
+def on_early_answer_check(state: State, call_id: int) -> None:
     """Answer a search if the rest is not worth the wait, else look again later."""
     search = state.searches_by_id.get(call_id)
     if search is None:
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -31,7 +31,7 @@
     HOUSEKEEPING = "housekeeping"
     SEARCH_DEADLINE = "search_deadline"
     HEDGE = "hedge"
-    PATIENCE = "patience"
+    EARLY_ANSWER = "early_answer"
     ATTEMPT_TIMEOUT = "attempt_timeout"
     RUN_DEADLINE = "run_deadline"
     HEALTH_POLL = "health_poll"
@@ -213,7 +213,7 @@
     :param waiting_since: when the queue last became non-empty.
     :param completed_at: times of the latest answers.
     :param times: how long answers took.
-    :param calm_times: how long answers took while no part waited; they decide about hedges, so
+    :param unqueued_times: how long answers took while no part waited; they decide about hedges, so
         that hedging is back as soon as an overload is over.
     """
 
@@ -223,7 +223,7 @@
     waiting_since: Millis = 0.0
     completed_at: deque[Millis] = field(default_factory=lambda: deque(maxlen=MAX_COMPLETIONS))
     times: RecentTimes = field(default_factory=RecentTimes)
-    calm_times: RecentTimes = field(default_factory=RecentTimes)
+    unqueued_times: RecentTimes = field(default_factory=RecentTimes)
     hedge_tokens: float = INITIAL_TOKENS
     retry_tokens: float = INITIAL_TOKENS
     retry_tokens_at: Millis = 0.0
--- a/turmerictiller/ticket_forwards.py
+++ b/turmerictiller/ticket_forwards.py
@@ -81,7 +81,7 @@
             reply_refusal(state, waiter, refusal)
             return
     if event.outcome not in OUTCOMES:
-        _reply_unheard(state, waiter, "bad_answer")
+        _reply_unanswered(state, waiter, "bad_answer")
         return
     told = Outcome(event.outcome, event.answer, event.reason, event.retry_after_ms)
     reply_outcome(state, waiter, told)
@@ -95,7 +95,7 @@
     if event.reason == NOT_OWNER:
         reply_outcome(state, waiter, OWNER_RESTARTED)
     else:
-        _reply_unheard(state, waiter, event.reason)
+        _reply_unanswered(state, waiter, event.reason)
 
 
 def _end_forward(state: State, call_id: int) -> Waiter | None:
@@ -106,7 +106,7 @@
     return Waiter(call_id, False, deadline_at)
 
 
-def _reply_unheard(state: State, waiter: Waiter, reason: str) -> None:
+def _reply_unanswered(state: State, waiter: Waiter, reason: str) -> None:
     # The owner may still have a record of the outcome, so a repeat can help.
     reply_outcome(state, waiter, Outcome("unknown", {}, reason, RETRY_AFTER_MS))
 
@@ -117,4 +117,4 @@
         return
     waiter = _end_forward(state, call_id)
     if waiter is not None:
-        _reply_unheard(state, waiter, "timed_out")
+        _reply_unanswered(state, waiter, "timed_out")
