--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import gc
 import time
-import tracemalloc
 
-from bench.series import Series
+from bench.series import Series, traced_bytes
 from turmerictiller import effects, events, frames
 from turmerictiller.config import load_settings
 from turmerictiller.gossip_model import GossipMessage, Member, PeerStatus
@@ -83,14 +81,7 @@
 
 def members_bytes(members: int) -> float:
     """Return bytes of the state that members take."""
-    gc.collect()
-    tracemalloc.start()
-    state = fleet_state(members)
-    gc.collect()
-    size = tracemalloc.get_traced_memory()[0]
-    tracemalloc.stop()
-    del state
-    return size
+    return traced_bytes(fleet_state, members)
 
 
 def control_series() -> list[Series]:
--- a/bench/series.py
+++ b/bench/series.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import gc
 import json
+import tracemalloc
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 OUTPUT = Path("build/slopes.json")
 
@@ -50,3 +56,15 @@
         )
     OUTPUT.parent.mkdir(exist_ok=True)
     OUTPUT.write_text(json.dumps(rows, indent=2))
+
+
+def traced_bytes(build: Callable[[int], Any], size: int) -> float:
+    """Return the bytes that what is built takes."""
+    gc.collect()
+    tracemalloc.start()
+    built = build(size)
+    gc.collect()
+    taken = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del built
+    return taken
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -8,12 +8,10 @@
 
 import argparse
 import asyncio
-import gc
 import json
 import subprocess
 import sys
 import time
-import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
@@ -21,7 +19,7 @@
 import orjson
 
 from bench.control_slopes import control_series
-from bench.series import Series, report
+from bench.series import Series, report, traced_bytes
 from turmerictiller import effects, events
 from turmerictiller.config import load_settings
 from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
@@ -101,14 +99,7 @@
 
 def state_bytes(services: int) -> float:
     """Return bytes that the state of an instance takes."""
-    gc.collect()
-    tracemalloc.start()
-    state = started(services)
-    gc.collect()
-    size = tracemalloc.get_traced_memory()[0]
-    tracemalloc.stop()
-    del state
-    return size
+    return traced_bytes(started, services)
 
 
 def note_check_ms(services: int) -> float:
