Give hedge timers of the baseline the key that the reducer expects

Cause: the baseline with a fixed hedge used timers without the attempt's id, so dropping the timers of ended attempts raised an error and make measure with all policies failed. Ruled out: a reducer that accepts any key (it would hide such mistakes). Change: the baseline's key names its attempt. Mutant killed: the key without the attempt.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable, Container, Iterator
 
     from bench.world import World
+    from turmerictiller.hedging import HedgeKey
     from turmerictiller.state import Search, ServerState, ServicePart, State
 
     Choose = Callable[[State, str, str | None, Container[str], str], ServerState | None]
@@ -112,14 +113,14 @@
     def start(state: State, search: Search, part: ServicePart, is_hedge: bool = False) -> bool:
         started = start_attempt(state, search, part, is_hedge)
         if started:
-            key = (search.call_id, part.service)
+            key = (search.call_id, part.service, part.attempt_ids[-1])
             state.timers.add(state.now + hedge_ms, TimerKind.HEDGE, key)
         return started
 
     return start
 
 
-def _hedge(state: State, key: tuple[int, str]) -> None:
+def _hedge(state: State, key: HedgeKey) -> None:
     search = state.searches_by_id.get(key[0])
     part = search.parts_by_service.get(key[1]) if search else None
     if search is not None and part is not None and not part.resolved:
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from bench.deployments import DAKAR
 from bench.measure import run_once
-from bench.policies import ORACLE, PRODUCT, RANDOM, Policy
+from bench.policies import LEAST, ORACLE, PRODUCT, RANDOM, Policy
 from bench.report import figures, quantile
 from bench.scenarios import SLOWED, WARM_UP_MS, Scenario
 from bench.world import World
 from turmerictiller import routing
+from turmerictiller.state import Timers
+
+if TYPE_CHECKING:
+    import pytest
 
 SHORT = Scenario("short", length_ms=WARM_UP_MS + 300.0, script=SLOWED.script)
 
@@ -62,3 +68,11 @@
     assert quantile(ordered, 0.99) == 99.0
     assert quantile(ordered, 1.0) == 100.0
     assert quantile([7.0], 0.5) == 7.0
+
+
+def test_timers_of_the_fixed_hedge_baseline_can_be_told_apart(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a baseline whose hedge timers the reducer can not drop with their calls."""
+    monkeypatch.setattr(Timers, "clean_at", property(lambda timers: 1, lambda timers, value: None))
+    assert _figures(LEAST)["p99_ms"] > 0
