Define the retry times of the callers' border once

Cause: RETRY_AFTER_MS and RETRY_ELSEWHERE_MS stood in two modules each with the same values, so one could be changed without the other. Ruled out: one budget function for searches and runs, and one table of failure reasons: they differ in what they count as not run, and only their shape is alike. Change: caller_connections takes the first from caller_answers, which takes the second from lifecycle. Before: four constants. Conclusion: kept; no value changed.

--- a/turmerictiller/caller_answers.py
+++ b/turmerictiller/caller_answers.py
@@ -12,6 +12,7 @@
 
 from turmerictiller.effects import ReplyOutcome, ReplyRefusal, ReplySearch, ReplyTicket
 from turmerictiller.errors import BodyError, Ran, Refusal, RefusalType, ShutdownError
+from turmerictiller.lifecycle import RETRY_ELSEWHERE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -19,7 +20,6 @@
 Reply = ReplySearch | ReplyRefusal | ReplyTicket | ReplyOutcome
 
 RETRY_AFTER_MS = 1_000
-RETRY_ELSEWHERE_MS = 100
 MAX_LISTED_ERRORS = 20
 
 REFUSAL_BY_HTTP_ERROR: dict[type[BaseException], tuple[RefusalType, str]] = {
--- a/turmerictiller/caller_connections.py
+++ b/turmerictiller/caller_connections.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 
 from turmerictiller.caller_answers import (
+    RETRY_AFTER_MS,
     headers_too_large,
     refusal_bytes,
     refusal_of,
@@ -34,7 +35,6 @@
 LINGER_S = 1.0
 SWEEP_S = 0.05
 READ_OUT_TURNS = 20
-RETRY_AFTER_MS = 1_000
 
 
 class CallerConnection(web.RequestHandler):
