Move timers, phases and the text of metrics to modules of their own

Cause: the forwarding decisions for the users' platform need the timer queue, the phases of a process and the Prometheus text, which stood in modules that import searches, tickets and gossip. Ruled out: importing them from there (slow starts and a dependency of the new core on the old one); copies.

--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -8,7 +8,7 @@
 from tests.reducing import Harness
 from turmerictiller import effects, events
 from turmerictiller.errors import RefusalType
-from turmerictiller.state import ProcessPhase
+from turmerictiller.phases import ProcessPhase
 from turmerictiller.state_dump import health
 
 NOTICE_MS = 300
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -9,7 +9,7 @@
 
 from tests.reducing import Harness
 from turmerictiller import effects, events
-from turmerictiller.exposition import escape, exposition
+from turmerictiller.exposition import exposition
 from turmerictiller.metrics import (
     OTHER,
     WINDOW_MS,
@@ -20,6 +20,7 @@
     record,
 )
 from turmerictiller.trace import Trace
+from turmerictiller.util.prometheus import escape
 
 LABEL = r'[a-z_]+="(?:[^"\\\n]|\\["\\n])*"'
 SAMPLE = re.compile(rf"turmerictiller_[a-z_]+(\{{{LABEL}(,{LABEL})*\}})? [-+.e0-9]+")
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -12,7 +12,7 @@
 
 from tests.serving import Served, on_instance, post, read_answer, search, until
 from turmerictiller.lifecycle import LIMIT, NOTICE_OVER
-from turmerictiller.state import ProcessPhase
+from turmerictiller.phases import ProcessPhase
 
 CALLERS = 12
 CALLS_AFTER_NOTICE = 5
--- a/turmerictiller/exposition.py
+++ b/turmerictiller/exposition.py
@@ -9,20 +9,15 @@
 
 from turmerictiller import __version__
 from turmerictiller.limits import live_instances
-from turmerictiller.metrics import QUANTILES
+from turmerictiller.util.prometheus import family, named, summaries
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-    from turmerictiller.metrics import Metrics, Series
+    from turmerictiller.metrics import Metrics
     from turmerictiller.state import State
     from turmerictiller.trace import Trace
-
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-PREFIX = "turmerictiller"
-
-Labels = dict[str, str]
-Samples = list[tuple[Labels, float]]
+    from turmerictiller.util.prometheus import Samples
 
 
 def exposition(
@@ -36,21 +31,16 @@
         "failure_domain": settings.failure_domain,
         "incarnation": settings.incarnation,
     }
-    yield _family("info", "gauge", "Identity of the process.", [({}, 1.0)], info)
-    yield _named("counter_total", "Counters of the state, by name.", state.counters)
-    yield _named("caller_counter_total", "Counters of the callers' server.", caller_counters)
+    yield family("info", "gauge", "Identity of the process.", [({}, 1.0)], info)
+    yield named("counter_total", "Counters of the state, by name.", state.counters)
+    yield named("caller_counter_total", "Counters of the callers' server.", caller_counters)
     for name, text, samples in _gauges(state, trace):
-        yield _family(name, "gauge", text, samples)
+        yield family(name, "gauge", text, samples)
     for name, text, value in _process_counters():
-        yield _family(name, "counter", text, [({}, value)])
+        yield family(name, "counter", text, [({}, value)])
     answers, attempts = metrics.answers_by_front, metrics.attempts_by_service
-    yield from _summaries("answer_seconds", "Time to answer a search.", "front", answers)
-    yield from _summaries("attempt_seconds", "Latency of upstream calls.", "service", attempts)
-
-
-def _named(name: str, text: str, counters: Mapping[str, int]) -> str:
-    samples: Samples = [({"name": key}, value) for key, value in sorted(counters.items())]
-    return _family(name, "counter", text, samples)
+    yield from summaries("answer_seconds", "Time to answer a search.", "front", answers)
+    yield from summaries("attempt_seconds", "Latency of upstream calls.", "service", attempts)
 
 
 def _gauges(state: State, trace: Trace) -> Iterator[tuple[str, str, Samples]]:
@@ -87,34 +77,3 @@
             return float(int(file.read().split()[1]) * os.sysconf("SC_PAGESIZE"))
     except (OSError, ValueError, IndexError):
         return 0.0
-
-
-def _summaries(name: str, text: str, label: str, by_name: dict[str, Series]) -> Iterator[str]:
-    yield _head(name, "summary", text)
-    for key, series in list(by_name.items()):
-        lines = [
-            _sample(name, {label: key, "quantile": f"{quantile:g}"}, value / 1000)
-            for quantile, value in zip(QUANTILES, series.quantiles_ms(), strict=False)
-        ]
-        lines.append(_sample(f"{name}_sum", {label: key}, series.sum_ms / 1000))
-        lines.append(_sample(f"{name}_count", {label: key}, series.count))
-        yield "".join(lines)
-
-
-def _family(name: str, kind: str, text: str, samples: Samples, common: Labels | None = None) -> str:
-    lines = [_sample(name, {**(common or {}), **labels}, value) for labels, value in samples]
-    return _head(name, kind, text) + "".join(lines)
-
-
-def _head(name: str, kind: str, text: str) -> str:
-    return f"# HELP {PREFIX}_{name} {text}\n# TYPE {PREFIX}_{name} {kind}\n"
-
-
-def _sample(name: str, labels: Labels, value: float) -> str:
-    inner = ",".join(f'{key}="{escape(item)}"' for key, item in labels.items())
-    return f"{PREFIX}_{name}{'{' + inner + '}' if inner else ''} {value:.10g}\n"
-
-
-def escape(value: str) -> str:
-    """Return a label value with backslash, quote and line feed escaped."""
-    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/turmerictiller/gossip_content.py
+++ b/turmerictiller/gossip_content.py
@@ -13,8 +13,8 @@
     QuarantineEntry,
 )
 from turmerictiller.peer_membership import gossip_targets
+from turmerictiller.phases import ProcessPhase
 from turmerictiller.quarantine import own_quarantines
-from turmerictiller.state import ProcessPhase
 
 if TYPE_CHECKING:
     from turmerictiller.state import ServerState, State
--- a/turmerictiller/lifecycle.py
+++ b/turmerictiller/lifecycle.py
@@ -4,13 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from transitions import Machine
-
 from turmerictiller.effects import CloseListeners, ReplyRefusal, Stop, WriteLog
 from turmerictiller.errors import Ran, Refusal, RefusalType
 from turmerictiller.events import RunArrived, SearchArrived, TicketRequested
 from turmerictiller.gossip_content import farewell
-from turmerictiller.state import ProcessPhase, TimerKind
+from turmerictiller.phases import ProcessPhase, next_phase
+from turmerictiller.state import TimerKind
 
 if TYPE_CHECKING:
     from turmerictiller.events import CallersLeft, Event, ShutdownRequested
@@ -27,37 +26,6 @@
 _BEFORE_SHUTDOWN = (ProcessPhase.STARTING, ProcessPhase.RUNNING)
 
 
-class _Model:
-    """Carrier of the phase while the machine computes the next one."""
-
-    state: str
-
-
-_MODEL = _Model()
-_MACHINE = Machine(
-    _MODEL,
-    states=[phase.value for phase in ProcessPhase],
-    initial=ProcessPhase.STARTING.value,
-    auto_transitions=False,
-    transitions=[
-        ["serve", "starting", "running"],
-        ["drain", ["starting", "running"], "draining"],
-        ["close", "draining", "closing"],
-        ["stop", ["draining", "closing"], "stopped"],
-    ],
-)
-
-
-def next_phase(phase: ProcessPhase, trigger: str) -> ProcessPhase:
-    """Return the phase after a trigger; a trigger without a transition changes nothing."""
-    # The machine itself warns on standard error about a trigger without a transition.
-    if not _MACHINE.get_transitions(trigger, phase.value):
-        return phase
-    _MACHINE.set_state(phase.value, _MODEL)
-    _MACHINE.events[trigger].trigger(_MODEL)
-    return ProcessPhase(_MODEL.state)
-
-
 def is_leaving(state: State) -> bool:
     """Return whether this instance is on its way out; gossip tells it to peers."""
     return state.lifecycle.phase not in _BEFORE_SHUTDOWN
--- a/turmerictiller/metrics.py
+++ b/turmerictiller/metrics.py
@@ -97,6 +97,11 @@
             metrics.front_by_call.pop(effect.call_id, None)
 
 
+def new_series() -> Series:
+    """Return a series without values."""
+    return Series(_histogram(), _histogram())
+
+
 def record(series: Series, ms: float) -> None:
     """Add one time to a series."""
     series.count += 1
@@ -112,7 +117,7 @@
         # Two places are kept for the common series of answers and of attempts.
         if used >= metrics.settings.max_histograms - 2 and name != OTHER:
             return _series(metrics, by_name, OTHER)
-        series = by_name[name] = Series(_histogram(), _histogram())
+        series = by_name[name] = new_series()
     return series
 
 
--- a/turmerictiller/operators.py
+++ b/turmerictiller/operators.py
@@ -9,7 +9,7 @@
 import orjson
 from aiohttp import web
 
-from turmerictiller.exposition import CONTENT_TYPE
+from turmerictiller.util.prometheus import CONTENT_TYPE
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/turmerictiller/state.py
+++ b/turmerictiller/state.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from turmerictiller.note_state import NotesState
 from turmerictiller.peer_state import PeersState
+from turmerictiller.phases import ProcessPhase
 from turmerictiller.ticket_table import TicketTable
 from turmerictiller.util.histogram import RecentTimes
+from turmerictiller.util.timers import Timers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
 
     from turmerictiller.clock import Millis
     from turmerictiller.config import Settings
@@ -39,16 +39,6 @@
     SHUTDOWN = "shutdown"
 
 
-class ProcessPhase(Enum):
-    """Phases in the life of the process, in order."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    DRAINING = "draining"
-    CLOSING = "closing"
-    STOPPED = "stopped"
-
-
 @dataclass(slots=True)
 class Lifecycle:
     """Where the process is in its life.
@@ -65,38 +55,6 @@
     callers_left: bool = False
 
 
-@dataclass(slots=True)
-class Timers:
-    """A queue of due times; a timer whose subject is gone is ignored when it runs out.
-
-    :param clean_at: number of timers at which those of ended calls are dropped.
-    """
-
-    _heap: list[tuple[float, int, TimerKind, Any]] = field(default_factory=list)
-    _sequence: int = 0
-    clean_at: int = 256
-
-    def add(self, at: Millis, kind: TimerKind, key: Any = None) -> None:
-        self._sequence += 1
-        heapq.heappush(self._heap, (at, self._sequence, kind, key))
-
-    def pop_due(self, now: Millis) -> tuple[TimerKind, Any] | None:
-        if not self._heap or self._heap[0][0] > now:
-            return None
-        _, _, kind, key = heapq.heappop(self._heap)
-        return kind, key
-
-    def next_at(self) -> Millis | None:
-        return self._heap[0][0] if self._heap else None
-
-    def keep(self, is_wanted: Callable[[TimerKind, Any], bool]) -> None:
-        self._heap = [item for item in self._heap if is_wanted(item[2], item[3])]
-        heapq.heapify(self._heap)
-
-    def __len__(self) -> int:
-        return len(self._heap)
-
-
 @dataclass(slots=True)
 class Attempt:
     """One call to one server, search or run.
