--- a/turmerictiller/errors.py
+++ b/turmerictiller/errors.py
@@ -98,6 +98,9 @@
     HALF_CLOSED = "half_closed"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     INTERNAL = "internal"
+    NO_SERVER = "no_server"
+    UPSTREAM_FAILED = "upstream_failed"
+    DEADLINE_PASSED = "deadline_passed"
 
 
 HTTP_STATUS_BY_REFUSAL: dict[RefusalType, int] = {
@@ -128,6 +131,9 @@
     RefusalType.HALF_CLOSED: 400,
     RefusalType.TOO_MANY_CONNECTIONS: 503,
     RefusalType.INTERNAL: 500,
+    RefusalType.NO_SERVER: 503,
+    RefusalType.UPSTREAM_FAILED: 502,
+    RefusalType.DEADLINE_PASSED: 504,
 }
 
 
--- /dev/null
+++ b/turmerictiller/forwarding/admission.py
@@ -0,0 +1,53 @@
+"""Refusals at once of requests that can not be served."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.errors import Ran, Refusal, RefusalType
+from turmerictiller.forwarding.routes import find_route
+from turmerictiller.phases import ProcessPhase
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.events import RequestArrived
+    from turmerictiller.forwarding.model import Route
+    from turmerictiller.forwarding.state import State
+
+NO_CONFIGURATION_RETRY_MS = 500
+LEAVING_RETRY_MS = 50  # the balancer sends the next attempt to another instance
+# A request that can not be repeated is not begun so shortly before the process is killed.
+LAST_RUN_MS = 1_500.0
+OVERLOADED_RETRY_MS = 250
+
+
+def admit(state: State, event: RequestArrived) -> Route | Refusal:
+    """Return the route of a request, or why it is refused."""
+    configuration = state.configuration
+    if configuration is None:
+        message = "this instance knows no configuration yet"
+        return Refusal(RefusalType.NO_NOTE, message, retry_after_ms=NO_CONFIGURATION_RETRY_MS)
+    route = find_route(configuration, event.host, event.path)
+    if route is None:
+        return Refusal(RefusalType.NOT_FOUND, "no route begins this path")
+    if event.budget_ms is not None and event.budget_ms <= 0:
+        return Refusal(RefusalType.OVERLOADED, "no time is left", retry_after_ms=0)
+    if len(state.requests_by_call) >= state.settings.max_requests:
+        message = "too many requests are in flight"
+        return Refusal(RefusalType.OVERLOADED, message, retry_after_ms=OVERLOADED_RETRY_MS)
+    if state.phase is ProcessPhase.STOPPED or (
+        not route.idempotent and state.ends_at - state.now < LAST_RUN_MS
+    ):
+        return leaving()
+    return route
+
+
+def leaving() -> Refusal:
+    """Return the refusal of a request that came too late for this instance."""
+    message = "this instance is shutting down"
+    return Refusal(RefusalType.SHUTTING_DOWN, message, Ran.NO, LEAVING_RETRY_MS)
+
+
+def no_server(retry_after_ms: float) -> Refusal:
+    """Return the refusal of a request for which there is no usable server."""
+    message = "no server can take the request"
+    return Refusal(RefusalType.NO_SERVER, message, Ran.NO, max(1, round(retry_after_ms)))
--- /dev/null
+++ b/turmerictiller/forwarding/attempts.py
@@ -0,0 +1,87 @@
+"""Attempts: one request on its way to one server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.choice import choose_server
+from turmerictiller.forwarding.effects import SendAttempt
+from turmerictiller.forwarding.state import Attempt, route_times, service_state
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.state import Part, Request, ServerState, State
+
+RETURN_MARGIN_MS = 5.0  # the way back to the caller takes 1 to 3 ms
+LEAST_BUDGET_MS = 1.0
+
+
+def choose_for_part(state: State, request: Request, index: int) -> ServerState | None:
+    """Return the best server that has not had a part of a request, or ``None``."""
+    part = request.parts[index]
+    route = request.route
+    service = service_state(state, part.service)
+    times = route_times(state, route.name)
+    return choose_server(state, service, times, part.tried, route.idempotent)
+
+
+def start_attempt(state: State, request: Request, index: int, is_extra: bool = False) -> bool:
+    """Send one part of a request to the best server that has not had it; return whether it was."""
+    server = choose_for_part(state, request, index)
+    if server is None:
+        return False
+    send_to(state, request, index, server, is_extra)
+    return True
+
+
+def send_to(
+    state: State, request: Request, index: int, server: ServerState, is_extra: bool
+) -> Attempt:
+    """Send one part of a request to a server."""
+    part = request.parts[index]
+    route = request.route
+    attempt = Attempt(
+        state.next_attempt_id,
+        request.call_id,
+        index,
+        route.name,
+        part.service,
+        server.entry.id,
+        state.now,
+        route.idempotent,
+        is_extra,
+    )
+    state.next_attempt_id += 1
+    state.attempts_by_id[attempt.id] = attempt
+    server.outstanding[attempt.id] = state.now
+    _note_send(part, attempt)
+    budget_ms = max(LEAST_BUDGET_MS, request.deadline_at - state.now - RETURN_MARGIN_MS)
+    state.out.append(
+        SendAttempt(
+            attempt.id,
+            request.call_id,
+            server.entry.id,
+            server.entry.address,
+            budget_ms,
+            fresh=not route.idempotent,
+        )
+    )
+    return attempt
+
+
+def _note_send(part: Part, attempt: Attempt) -> None:
+    part.tried.append(attempt.server_id)
+    part.attempt_ids.append(attempt.id)
+    part.runs += 1
+    part.sends += 1
+
+
+def end_attempt(state: State, attempt_id: int) -> tuple[Attempt, ServerState | None] | None:
+    """Remove an attempt that has ended; return it and its server, if that is still the same."""
+    attempt = state.attempts_by_id.pop(attempt_id, None)
+    if attempt is None:
+        state.counters["attempts.late"] += 1
+        return None
+    server = state.servers_by_id.get(attempt.server_id)
+    if server is None or server.outstanding.pop(attempt_id, None) is None:
+        return attempt, None
+    return attempt, server
--- /dev/null
+++ b/turmerictiller/forwarding/choice.py
@@ -0,0 +1,150 @@
+"""Choice of a server for an attempt, and what answers tell about servers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.effects import LogDecision
+from turmerictiller.forwarding.servers import is_last_resort
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+
+    from turmerictiller.forwarding.events import Failure
+    from turmerictiller.forwarding.state import RouteTimes, ServerState, ServiceState, State
+
+SLOWNESS_WEIGHT = 0.3
+TROUBLE_WEIGHT = 0.3
+# Observations lose half of their weight in this time, so that a server that was slow or failing
+# is tried again with work that can be repeated.
+HALF_LIFE_MS = 1_500.0
+TROUBLE_COST = 6.0
+OTHER_DOMAIN_COST = 0.1  # the way to another failure domain and back costs 1.4 ms more
+COLD_COST = 0.6  # a server that has just started works up to 1.6 times as long
+TIE_COST = 0.05
+# Servers stand still for 150 ms now and then; one that stays silent for longer has another fault.
+STUCK_MS = 250.0
+STUCK_FACTOR = 6.0
+FAILURES_TO_EJECT = 2
+FIRST_EJECTION_MS = 250.0
+LONGEST_EJECTION_MS = 2_000.0
+# Instances among which the connections of a server are shared: today's deployments have 8 or 9.
+SHARING_INSTANCES = 10
+MIN_CONNECTIONS = 2
+
+
+def connection_limit(state: State, service: ServiceState) -> int:
+    """Return how many connections to one server this instance may use."""
+    configuration = state.configuration
+    known = configuration.services_by_name.get(service.name) if configuration else None
+    if known is None:
+        return MIN_CONNECTIONS
+    return max(MIN_CONNECTIONS, round(known.max_connections / SHARING_INSTANCES))
+
+
+def choose_server(
+    state: State,
+    service: ServiceState,
+    times: RouteTimes,
+    exclude: Container[str],
+    idempotent: bool,
+) -> ServerState | None:
+    """Return the server with the least expected cost, or ``None`` if none may get the request.
+
+    A request that can be repeated also tests servers whose ejection is over.
+    """
+    now = state.now
+    limit = connection_limit(state, service)
+    stuck_ms = max(STUCK_MS, STUCK_FACTOR * times.typical_ms)
+    best: ServerState | None = None
+    best_rank = (9, 0.0)
+    for server in service.servers_by_id.values():
+        if server.entry.id in exclude or len(server.outstanding) >= limit:
+            continue
+        resort = is_last_resort(state, server)
+        if resort is None or now < server.ejected_until:
+            continue
+        rank = 2 if resort else 0
+        if server.outstanding:
+            oldest_at = next(iter(server.outstanding.values()))
+            if now - oldest_at > stuck_ms:
+                rank += 1
+        if server.failures >= FAILURES_TO_EJECT:
+            if idempotent and not resort and not server.outstanding:
+                _extend_ejection(state, server)
+                return server
+            rank += 1
+        cost = expected_cost(state, server)
+        if (rank, cost) < best_rank:
+            best, best_rank = server, (rank, cost)
+    return best
+
+
+def expected_cost(state: State, server: ServerState) -> float:
+    """Return the expected time of one more attempt, in multiples of the usual one."""
+    entry = server.entry
+    load = 1 + len(server.outstanding) / max(1, entry.slots)
+    decay = math.pow(0.5, (state.now - server.observed_at) / HALF_LIFE_MS)
+    cost = (1 + (server.slowness - 1) * decay) * load + TROUBLE_COST * server.trouble * decay
+    if entry.domain != state.settings.failure_domain:
+        cost += OTHER_DOMAIN_COST
+    if entry.cold_ms and state.now - server.added_at < entry.cold_ms:
+        cost += COLD_COST
+    return cost + TIE_COST * state.rng.random()
+
+
+def observe_answer(state: State, server: ServerState, ms: float, times: RouteTimes) -> None:
+    """Take one answered attempt into the estimates of a server."""
+    if server.failures >= FAILURES_TO_EJECT:
+        state.out.append(LogDecision("server_readmitted", {"server": server.entry.id}, urgent=True))
+    server.failures = 0
+    server.ejected_until = 0.0
+    server.backoff_ms = 0.0
+    server.trouble *= 1 - TROUBLE_WEIGHT
+    if times.typical_ms > 0:
+        _average_slowness(state, server, ms / times.typical_ms)
+
+
+def observe_no_answer(state: State, server: ServerState, ms: float, times: RouteTimes) -> None:
+    """Take the age of an unanswered attempt as a lower bound of the server's answer times."""
+    if times.typical_ms > 0 and ms / times.typical_ms > server.slowness:
+        _average_slowness(state, server, ms / times.typical_ms)
+
+
+def _average_slowness(state: State, server: ServerState, slowness: float) -> None:
+    server.slowness += SLOWNESS_WEIGHT * (slowness - server.slowness)
+    server.observed_at = state.now
+
+
+def observe_not_run(state: State, server: ServerState) -> None:
+    """Note that a server turned an attempt away."""
+    _raise_trouble(state, server)
+
+
+def observe_failure(state: State, server: ServerState, failure: str) -> None:
+    """Note that an attempt failed, and eject a server after several failures in a row."""
+    _raise_trouble(state, server)
+    server.failures += 1
+    if server.failures < FAILURES_TO_EJECT:
+        return
+    _extend_ejection(state, server)
+    if server.failures == FAILURES_TO_EJECT:
+        state.counters["servers.ejected"] += 1
+        fields = {"server": server.entry.id, "failure": failure, "ms": server.backoff_ms}
+        state.out.append(LogDecision("server_ejected", fields, urgent=True))
+
+
+def _raise_trouble(state: State, server: ServerState) -> None:
+    server.trouble += TROUBLE_WEIGHT * (1 - server.trouble)
+    server.observed_at = state.now
+
+
+def _extend_ejection(state: State, server: ServerState) -> None:
+    server.backoff_ms = min(LONGEST_EJECTION_MS, max(FIRST_EJECTION_MS, 2 * server.backoff_ms))
+    server.ejected_until = state.now + server.backoff_ms
+
+
+def is_connection_failure(failure: Failure) -> bool:
+    """Return whether a failure says that the server can not be reached at all."""
+    return failure.value in ("refused", "connect_timeout")
--- /dev/null
+++ b/turmerictiller/forwarding/configuration.py
@@ -0,0 +1,34 @@
+"""Which configuration is in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.effects import LogDecision, UseLimits
+from turmerictiller.forwarding.state import service_state
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.events import ConfigurationSeen
+    from turmerictiller.forwarding.state import State
+
+
+def on_configuration_seen(state: State, event: ConfigurationSeen) -> None:
+    """Use a newer configuration for new requests; an older one never comes back."""
+    new, old = event.configuration, state.configuration
+    if old is not None and new.version <= old.version:
+        return
+    state.configuration = new
+    for name in new.services_by_name:
+        service_state(state, name)
+    routes = {route.name for by in new.routes_by_host.values() for route in by.values()}
+    for name in [name for name in state.times_by_route if name not in routes]:
+        if not any(attempt.route == name for attempt in state.attempts_by_id.values()):
+            del state.times_by_route[name]
+    fields = {
+        "version": new.version,
+        "before": old.version if old else None,
+        "routes": len(routes),
+        "services": len(new.services_by_name),
+    }
+    state.out.append(LogDecision("configuration", fields, urgent=True))
+    state.out.append(UseLimits(new.limits))
--- /dev/null
+++ b/turmerictiller/forwarding/events.py
@@ -0,0 +1,170 @@
+"""What the shell tells the reducer. Every event carries the monotonic time at which it came."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from turmerictiller.clock import Millis
+    from turmerictiller.forwarding.model import Configuration, ServerEntry
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """A timer may be due."""
+
+    at: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A caller has sent a whole request.
+
+    :param request_id: identity that the caller gave this request; for logs.
+    :param budget_ms: how long the caller will wait; ``None`` if it did not say.
+    :param fingerprint: equal for equal requests of any caller.
+    """
+
+    at: Millis
+    call_id: int
+    request_id: str
+    host: str
+    path: str
+    budget_ms: float | None
+    fingerprint: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller of a request has closed its connection."""
+
+    at: Millis
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnswer:
+    """A whole answer of a server to an attempt.
+
+    :param signature: proof of the server that it gave this answer; empty without one.
+    :param not_run: the server says that it has not run the request.
+    :param headers: headers that are meant for the caller.
+    """
+
+    status: int
+    signature: bytes
+    body: bytes
+    not_run: bool = False
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    reason: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptAnswered:
+    """A server has answered an attempt."""
+
+    at: Millis
+    attempt_id: int
+    answer: UpstreamAnswer
+
+
+class Failure(Enum):
+    """Why an attempt got no answer."""
+
+    REFUSED = "refused"
+    CONNECT_TIMEOUT = "connect_timeout"
+    CLOSED = "closed"
+    RESET = "reset"
+    BAD_ANSWER = "bad_answer"
+    OTHER_SERVER = "other_server"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt ended without an answer.
+
+    :param may_have_run: false only if no byte of the request was sent, or the server says so.
+    """
+
+    at: Millis
+    attempt_id: int
+    failure: Failure
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSeen:
+    """A configuration was read."""
+
+    at: Millis
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSeen:
+    """A server has published an entry."""
+
+    at: Millis
+    entry: ServerEntry
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntryRemoved:
+    """The entry of a server was removed at a revision, by the server or for its silence."""
+
+    at: Millis
+    server_id: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServersListed:
+    """All entries were read; those known at ``revision`` that are not among them were removed.
+
+    :param unreadable_ids: servers whose entries are there but can not be read.
+    """
+
+    at: Millis
+    revision: int
+    entries: tuple[ServerEntry, ...]
+    unreadable_ids: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class RegistryLost:
+    """Reads of the registry fail."""
+
+    at: Millis
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownRequested:
+    """The process is told to stop."""
+
+    at: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class CallersLeft:
+    """No caller is connected any more."""
+
+    at: Millis
+
+
+Event = (
+    Tick
+    | RequestArrived
+    | CallerLeft
+    | AttemptAnswered
+    | AttemptFailed
+    | ConfigurationSeen
+    | ServerSeen
+    | ServerEntryRemoved
+    | ServersListed
+    | RegistryLost
+    | ShutdownRequested
+    | CallersLeft
+)
--- /dev/null
+++ b/turmerictiller/forwarding/reducer.py
@@ -0,0 +1,80 @@
+"""One reducer over all events of the forwarding decisions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from turmerictiller.forwarding import configuration, requests, servers, shutdown
+from turmerictiller.forwarding.effects import WakeAt
+from turmerictiller.forwarding.events import (
+    AttemptAnswered,
+    AttemptFailed,
+    CallerLeft,
+    CallersLeft,
+    ConfigurationSeen,
+    RegistryLost,
+    RequestArrived,
+    ServerEntryRemoved,
+    ServerSeen,
+    ServersListed,
+    ShutdownRequested,
+    Tick,
+)
+from turmerictiller.forwarding.state import TimerKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from turmerictiller.forwarding.effects import Effect
+    from turmerictiller.forwarding.events import Event
+    from turmerictiller.forwarding.state import State
+
+_HANDLERS: dict[type, Callable[[State, Any], None]] = {
+    Tick: lambda state, event: _on_tick(state),
+    RequestArrived: requests.on_request_arrived,
+    CallerLeft: requests.on_caller_left,
+    AttemptAnswered: requests.on_attempt_answered,
+    AttemptFailed: requests.on_attempt_failed,
+    ConfigurationSeen: configuration.on_configuration_seen,
+    ServerSeen: servers.on_server_seen,
+    ServerEntryRemoved: servers.on_server_entry_removed,
+    ServersListed: servers.on_servers_listed,
+    RegistryLost: servers.on_registry_lost,
+    ShutdownRequested: shutdown.on_shutdown_requested,
+    CallersLeft: shutdown.on_callers_left,
+}
+
+_TIMER_HANDLERS: dict[TimerKind, Callable[[State, Any], None]] = {
+    TimerKind.HEDGE: requests.on_hedge_due,
+    TimerKind.TARGET: requests.on_target_due,
+    TimerKind.DEADLINE: requests.on_deadline_due,
+    TimerKind.ABANDON: requests.on_abandon_due,
+    TimerKind.CALLER_LEFT: requests.on_caller_left_due,
+    TimerKind.SERVERS: servers.on_forget_due,
+    TimerKind.SHUTDOWN: shutdown.on_shutdown_timer,
+}
+
+
+def reduce(state: State, event: Event) -> list[Effect]:
+    """Apply one event and return what the shell has to do."""
+    state.now = max(state.now, event.at)
+    _HANDLERS[type(event)](state, event)
+    while (due := state.timers.pop_due(state.now)) is not None:
+        kind, key = due
+        _TIMER_HANDLERS[kind](state, key)
+    shutdown.observe_readiness(state)
+    _set_wake(state)
+    out, state.out = state.out, []
+    return out
+
+
+def _on_tick(state: State) -> None:
+    state.wake_at = None
+
+
+def _set_wake(state: State) -> None:
+    """Ask for an earlier tick if one is needed; a tick that turns out to be early does no harm."""
+    due_at = state.timers.next_at()
+    if due_at is not None and (state.wake_at is None or due_at < state.wake_at):
+        state.wake_at = due_at
+        state.out.append(WakeAt(due_at))
--- /dev/null
+++ b/turmerictiller/forwarding/servers.py
@@ -0,0 +1,155 @@
+"""Which servers there are, and which may get new work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.effects import ForgetServer, LogDecision
+from turmerictiller.forwarding.state import ServerState, TimerKind, service_state
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.events import (
+        RegistryLost,
+        ServerEntryRemoved,
+        ServerSeen,
+        ServersListed,
+    )
+    from turmerictiller.forwarding.model import ServerEntry
+    from turmerictiller.forwarding.state import State
+
+# Entries that lapsed while the registry was away are back about two seconds after its return.
+REMOVED_USE_MS = 2_000.0
+# The registry may have told of a draining server later than the time from which it counts.
+DRAINING_USE_MS = 1_000.0
+FORGET_AFTER_MS = 30_000.0  # longer than any attempt to the server lasts
+MAX_REMOVED = 4_096
+
+
+def on_server_seen(state: State, event: ServerSeen) -> None:
+    """Take over the entry of a server unless a newer one is known."""
+    _registry_answers(state)
+    _take_entry(state, event.entry)
+
+
+def on_server_entry_removed(state: State, event: ServerEntryRemoved) -> None:
+    """Note that the entry of a server was removed."""
+    _registry_answers(state)
+    server = state.servers_by_id.get(event.server_id)
+    if server is not None and event.revision > server.entry.revision:
+        _remove(state, server, event.revision)
+
+
+def on_servers_listed(state: State, event: ServersListed) -> None:
+    """Take over all entries, and note which were removed."""
+    _registry_answers(state)
+    state.servers_listed = True
+    listed = {entry.id for entry in event.entries} | event.unreadable_ids
+    for entry in event.entries:
+        _take_entry(state, entry)
+    for server in list(state.servers_by_id.values()):
+        if server.entry.id not in listed and server.entry.revision <= event.revision:
+            _remove(state, server, event.revision)
+
+
+def on_registry_lost(state: State, event: RegistryLost) -> None:
+    """Go on with what is known."""
+    if not state.registry_lost:
+        state.registry_lost = True
+        fields = {"reason": event.reason, "servers": len(state.servers_by_id)}
+        state.out.append(LogDecision("registry_lost", fields, urgent=True))
+
+
+def _registry_answers(state: State) -> None:
+    if state.registry_lost:
+        state.registry_lost = False
+        state.out.append(LogDecision("registry_regained", urgent=True))
+
+
+def _take_entry(state: State, entry: ServerEntry) -> None:
+    if entry.revision <= state.removed_revision_by_id.get(entry.id, -1):
+        return
+    server = state.servers_by_id.get(entry.id)
+    if server is None or server.entry.incarnation != entry.incarnation:
+        server = _add(state, entry, server)
+    elif entry.revision < server.entry.revision:
+        return
+    elif server.entry.service != entry.service or server.entry.address != entry.address:
+        server = _add(state, entry, server)
+    server.entry = entry
+    server.removed_at = None
+    if entry.draining and server.draining_at is None:
+        server.draining_at = state.now
+        fields = {"server": entry.id, "service": entry.service, "revision": entry.revision}
+        state.out.append(LogDecision("server_draining", fields, urgent=True))
+
+
+def _add(state: State, entry: ServerEntry, known: ServerState | None) -> ServerState:
+    """Begin to observe a server; what was seen of an earlier start under its id is dropped."""
+    if known is not None:
+        del service_state(state, known.entry.service).servers_by_id[entry.id]
+    server = ServerState(entry, state.now)
+    server.observed_at = state.now
+    state.servers_by_id[entry.id] = server
+    service_state(state, entry.service).servers_by_id[entry.id] = server
+    fields = {
+        "server": entry.id,
+        "service": entry.service,
+        "address": entry.address,
+        "revision": entry.revision,
+    }
+    state.out.append(LogDecision("server_added", fields, urgent=True))
+    return server
+
+
+def _remove(state: State, server: ServerState, revision: int) -> None:
+    if server.removed_at is not None:
+        return
+    server.removed_at = state.now
+    state.timers.add(state.now + FORGET_AFTER_MS, TimerKind.SERVERS, server.entry.id)
+    fields = {
+        "server": server.entry.id,
+        "service": server.entry.service,
+        "revision": revision,
+        "was_draining": server.entry.draining,
+    }
+    state.out.append(LogDecision("server_removed", fields, urgent=True))
+    state.removed_revision_by_id[server.entry.id] = revision
+    while len(state.removed_revision_by_id) > MAX_REMOVED:
+        del state.removed_revision_by_id[next(iter(state.removed_revision_by_id))]
+
+
+def on_forget_due(state: State, server_id: str) -> None:
+    """Drop a server whose entry has been missing for long."""
+    server = state.servers_by_id.get(server_id)
+    if server is None or server.removed_at is None:
+        return
+    if state.now - server.removed_at < FORGET_AFTER_MS or server.outstanding:
+        state.timers.add(state.now + FORGET_AFTER_MS, TimerKind.SERVERS, server_id)
+        return
+    del state.servers_by_id[server_id]
+    service = state.services_by_name[server.entry.service]
+    service.servers_by_id.pop(server_id, None)
+    if not service.servers_by_id and not _is_configured(state, service.name):
+        del state.services_by_name[service.name]
+    state.out.append(ForgetServer(server.entry.address))
+
+
+def _is_configured(state: State, name: str) -> bool:
+    return state.configuration is not None and name in state.configuration.services_by_name
+
+
+def is_last_resort(state: State, server: ServerState) -> bool | None:
+    """Return whether a server is used only if there is no other; ``None`` if it is not used."""
+    if server.removed_at is not None:
+        left = state.now - server.removed_at < REMOVED_USE_MS and not server.entry.draining
+        return True if left else None
+    if server.draining_at is not None:
+        return True if state.now - server.draining_at < DRAINING_USE_MS else None
+    return False
+
+
+def on_other_server(state: State, server: ServerState) -> None:
+    """Stop using a server whose address is another's now."""
+    revision = server.entry.revision
+    _remove(state, server, revision)
+    server.removed_at = float("-inf")
--- /dev/null
+++ b/turmerictiller/forwarding/state.py
@@ -0,0 +1,199 @@
+"""State of the forwarding decisions. Only the reducer changes it."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.extra_attempts import BUCKETS, WindowCount
+from turmerictiller.phases import ProcessPhase
+from turmerictiller.util.histogram import RecentTimes
+from turmerictiller.util.timers import Timers
+
+if TYPE_CHECKING:
+    from turmerictiller.clock import Millis
+    from turmerictiller.forwarding.effects import Effect
+    from turmerictiller.forwarding.events import UpstreamAnswer
+    from turmerictiller.forwarding.model import Configuration, Route, ServerEntry
+    from turmerictiller.forwarding.settings import ForwardingSettings
+
+TIMES_PER_UPDATE = 16  # answers after which the quantiles of a route are computed again
+
+
+class TimerKind(Enum):
+    """What is due when a timer runs out."""
+
+    HEDGE = "hedge"
+    TARGET = "target"
+    DEADLINE = "deadline"
+    ABANDON = "abandon"
+    CALLER_LEFT = "caller_left"
+    SERVERS = "servers"
+    SHUTDOWN = "shutdown"
+
+
+@dataclass(slots=True)
+class ServerState:
+    """A server and what this instance has seen of it.
+
+    :param outstanding: times at which unanswered attempts were sent, by attempt, oldest first.
+    :param slowness: answer times as multiples of those of the route, averaged.
+    :param trouble: share of attempts that failed or were not run, averaged.
+    :param failures: failures since the last answer.
+    :param ejected_until: no attempt goes to the server before this time.
+    :param removed_at: when its entry was removed; ``None`` while there is one.
+    :param draining_at: when it was first seen draining.
+    """
+
+    entry: ServerEntry
+    added_at: Millis
+    outstanding: dict[int, Millis] = field(default_factory=dict)
+    slowness: float = 1.0
+    trouble: float = 0.0
+    observed_at: Millis = 0.0
+    failures: int = 0
+    ejected_until: Millis = 0.0
+    backoff_ms: float = 0.0
+    removed_at: Millis | None = None
+    draining_at: Millis | None = None
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """A service, its servers and its budget."""
+
+    name: str
+    first_attempts: WindowCount
+    extra_attempts: WindowCount
+    servers_by_id: dict[str, ServerState] = field(default_factory=dict)
+    shed_at: Millis = float("-inf")
+
+
+@dataclass(slots=True)
+class RouteTimes:
+    """Times of answered attempts of one route, and quantiles of them.
+
+    :param weights: running weights of a split route, for an even rotation.
+    """
+
+    times: RecentTimes = field(default_factory=RecentTimes)
+    typical_ms: float = 0.0
+    hedge_ms: float = 0.0
+    fresh: int = 0
+    weights: dict[str, float] = field(default_factory=dict)
+
+    def add(self, ms: float, hedge_quantile: float) -> None:
+        """Count one time."""
+        self.times.add(ms)
+        self.fresh += 1
+        if self.fresh >= TIMES_PER_UPDATE or self.typical_ms == 0:
+            self.fresh = 0
+            self.typical_ms = self.times.quantile(0.5)
+            self.hedge_ms = self.times.quantile(hedge_quantile)
+
+
+@dataclass(slots=True)
+class Part:
+    """What one service adds to an answer.
+
+    :param tried: servers that got the request, whether they ran it or not.
+    :param runs: servers that may have run it.
+    :param sends: attempts so far.
+    """
+
+    service: str
+    tried: list[str] = field(default_factory=list)
+    attempt_ids: list[int] = field(default_factory=list)
+    runs: int = 0
+    sends: int = 0
+    answer: UpstreamAnswer | None = None
+    failed: str = ""
+
+
+@dataclass(slots=True)
+class Request:
+    """A request of a caller that is being served.
+
+    :param open_parts: parts that are neither answered nor failed.
+    :param is_unusual: more happened than one answered attempt per part.
+    """
+
+    call_id: int
+    request_id: str
+    route: Route
+    version: int
+    arrived_at: Millis
+    deadline_at: Millis
+    fingerprint: int
+    parts: list[Part]
+    open_parts: int
+    included: int = 0
+    is_unusual: bool = False
+    target_passed: bool = False
+    caller_left: bool = False
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request on its way to one server."""
+
+    id: int
+    call_id: int
+    part: int
+    route: str
+    service: str
+    server_id: str
+    sent_at: Millis
+    idempotent: bool
+    is_extra: bool = False
+
+
+@dataclass(slots=True)
+class State:
+    """Everything that the decisions depend on."""
+
+    settings: ForwardingSettings
+    rng: random.Random
+    now: Millis = 0.0
+    phase: ProcessPhase = ProcessPhase.STARTING
+    ends_at: Millis = float("inf")
+    configuration: Configuration | None = None
+    servers_listed: bool = False
+    registry_lost: bool = False
+    services_by_name: dict[str, ServiceState] = field(default_factory=dict)
+    servers_by_id: dict[str, ServerState] = field(default_factory=dict)
+    removed_revision_by_id: dict[str, int] = field(default_factory=dict)
+    times_by_route: dict[str, RouteTimes] = field(default_factory=dict)
+    requests_by_call: dict[int, Request] = field(default_factory=dict)
+    attempts_by_id: dict[int, Attempt] = field(default_factory=dict)
+    next_attempt_id: int = 1
+    timers: Timers = field(default_factory=Timers)
+    wake_at: Millis | None = None
+    counters: Counter[str] = field(default_factory=Counter)
+    out: list[Effect] = field(default_factory=list)
+
+
+def new_state(settings: ForwardingSettings) -> State:
+    """Return the state of an instance that knows nothing yet."""
+    return State(settings, random.Random(settings.seed))
+
+
+def service_state(state: State, name: str) -> ServiceState:
+    """Return the state of a service, which is made if it is new."""
+    service = state.services_by_name.get(name)
+    if service is None:
+        bucket_ms = state.settings.extra_window_ms / BUCKETS
+        service = ServiceState(name, WindowCount(bucket_ms), WindowCount(bucket_ms))
+        state.services_by_name[name] = service
+    return service
+
+
+def route_times(state: State, name: str) -> RouteTimes:
+    """Return the times of a route, which are made if it is new."""
+    times = state.times_by_route.get(name)
+    if times is None:
+        times = state.times_by_route[name] = RouteTimes()
+    return times
--- /dev/null
+++ b/turmerictiller/platform/application.py
@@ -0,0 +1,113 @@
+"""One instance on the platform: its listeners, its reads of the store, its signals."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+from typing import TYPE_CHECKING
+
+from turmerictiller.clock import Clock
+from turmerictiller.errors import ConfigError
+from turmerictiller.forwarding.events import ShutdownRequested
+from turmerictiller.forwarding.model import CallerLimits
+from turmerictiller.platform.http_dialect import DIALECT
+from turmerictiller.platform.registry import Registry
+from turmerictiller.platform.settings import read_settings
+from turmerictiller.platform.store import Store
+from turmerictiller.transport.http_client import ConnectionPool
+from turmerictiller.transport.http_server import HttpListener
+from turmerictiller.transport.messages import write_response
+from turmerictiller.transport.shell import ForwardingShell
+from turmerictiller.util.prometheus import CONTENT_TYPE
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from turmerictiller.platform.settings import NodeFile
+    from turmerictiller.transport.http_server import ServerConnection
+    from turmerictiller.transport.messages import RawRequest
+
+READY_TARGET = b"/-/readiness"
+METRICS_TARGET = b"/metrics"
+METRICS_PORT = 9464  # the port that deploy/system.toml names
+# Descriptors that are left for servers, the store and files.
+RESERVED_DESCRIPTORS = 1_200
+OPERATOR_CONNECTIONS = 64
+
+
+class PlatformApplication:
+    """One instance on the platform."""
+
+    def __init__(self, path: Path, node: NodeFile) -> None:
+        self.path = path
+        self.node = node
+        self.clock = Clock()
+        self.shell = ForwardingShell(
+            node.forwarding_settings(secrets.randbits(63)),
+            DIALECT,
+            self.clock,
+            max_connections=node.limits.max_descriptors - RESERVED_DESCRIPTORS,
+        )
+        store = Store(node.store.address, ConnectionPool(self.clock), self.clock)
+        self.registry = Registry(store, self.clock, self.shell.dispatch, self.shell.log.write)
+        self._operators = [self._operator_listener(), self._operator_listener()]
+
+    async def run(self) -> None:
+        """Serve until the process is told to stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._shut_down)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        listen = self.node.listen
+        await self.shell.listener.open(listen.front)
+        host = listen.ready.rpartition(":")[0]
+        for listener, address in zip(
+            self._operators, (listen.ready, f"{host}:{METRICS_PORT}"), strict=True
+        ):
+            await listener.open(address)
+        self.registry.start()
+        fields = {"failure_domain": self.node.failure_domain, "address": listen.front}
+        self.shell.log.write("started", fields, urgent=True)
+        await self.shell.stopped.wait()
+        self.registry.close()
+        self.shell.log.write("stopped", {}, urgent=True)
+        for listener in self._operators:
+            listener.close()
+        self.shell.close()
+
+    def _operator_listener(self) -> HttpListener:
+        return HttpListener(
+            self.clock,
+            CallerLimits(),
+            self.shell.listener.errors,
+            self._on_operator_request,
+            lambda connection: None,
+            OPERATOR_CONNECTIONS,
+        )
+
+    def _on_operator_request(self, connection: ServerConnection, raw: RawRequest) -> None:
+        if raw.target == READY_TARGET:
+            status, reason = (200, b"OK") if self.shell.is_ready else (503, b"Service Unavailable")
+            connection.answer(write_response(status, reason, [], b"", False), False)
+        elif raw.target == METRICS_TARGET:
+            headers = [(b"Content-Type", CONTENT_TYPE.encode())]
+            body = self.shell.metrics.text().encode()
+            connection.answer(write_response(200, b"OK", headers, body, False), False)
+        else:
+            connection.answer(write_response(404, b"Not Found", [], b"", False), False)
+
+    def _shut_down(self) -> None:
+        self.shell.dispatch(ShutdownRequested(self.clock.now_ms()))
+
+    def _reload(self) -> None:
+        """Read the settings again; addresses take effect at the next start only."""
+        try:
+            new = read_settings(self.path)
+        except ConfigError as error:
+            fields = {"problems": error.problems}
+            self.shell.log.write("settings_rejected", fields, urgent=True)
+            return
+        self.node = new
+        self.shell.state.settings = new.forwarding_settings(self.shell.settings.seed)
+        self.shell.log.write("settings_reloaded", {}, urgent=True)
--- /dev/null
+++ b/turmerictiller/platform/registry.py
@@ -0,0 +1,130 @@
+"""Follows the platform's store and tells the product what it reads."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.events import (
+    ConfigurationSeen,
+    RegistryLost,
+    ServerEntryRemoved,
+    ServerSeen,
+    ServersListed,
+)
+from turmerictiller.platform.documents import DocumentError, read_configuration, read_server
+from turmerictiller.platform.store import HistoryGoneError, StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from turmerictiller.clock import Clock
+    from turmerictiller.forwarding.events import Event
+    from turmerictiller.forwarding.model import ServerEntry
+    from turmerictiller.platform.store import Item, Store
+
+SERVERS = "servers/"
+CONFIGURATION = "op/config"
+# A watch tells every change or fails, so this only limits how long a fault of the store could last.
+LIST_MS = 30_000.0
+# Calls are priced, and servers that start together would wake a watch one by one.
+WATCH_GAP_MS = 250.0
+# The store holds the operator's and the servers' keys and no others.
+EVERYTHING = ""
+FIRST_RETRY_MS = 100.0
+LONGEST_RETRY_MS = 500.0  # entries must count again within two seconds of the store's return
+
+
+@dataclass
+class Registry:
+    """The watch of one instance.
+
+    :param log: writes a line; takes its name, its fields and whether it is among the last dropped.
+    """
+
+    store: Store
+    clock: Clock
+    dispatch: Callable[[Event], None]
+    log: Callable[[str, dict[str, object], bool], None]
+    _task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        self._task = asyncio.get_running_loop().create_task(self._follow())
+
+    def close(self) -> None:
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _follow(self) -> None:
+        retry_ms = FIRST_RETRY_MS
+        while True:
+            try:
+                revision, items = await self.store.read_all(EVERYTHING)
+                self._on_list(revision, items)
+                retry_ms = FIRST_RETRY_MS
+                await self._watch(revision)
+            except HistoryGoneError:
+                self.log("history_gone", {}, True)
+            except StoreError as error:
+                self.dispatch(RegistryLost(self.clock.now_ms(), str(error)))
+                await asyncio.sleep(random.uniform(0.5, 1.0) * retry_ms / 1000)
+                retry_ms = min(2 * retry_ms, LONGEST_RETRY_MS)
+
+    async def _watch(self, revision: int) -> None:
+        listed_at = self.clock.now_ms()
+        while self.clock.now_ms() - listed_at < LIST_MS:
+            revision, items = await self.store.watch(EVERYTHING, revision)
+            for item in items:
+                self._on_change(item)
+            if items:
+                await asyncio.sleep(WATCH_GAP_MS / 1000)
+
+    def _on_list(self, revision: int, items: list[Item]) -> None:
+        entries: list[ServerEntry] = []
+        unreadable_ids: set[str] = set()
+        for item in items:
+            if item.key == CONFIGURATION:
+                self._on_configuration(item)
+            elif item.key.startswith(SERVERS):
+                entry = self._entry(item)
+                if entry is None:
+                    unreadable_ids.add(item.key.removeprefix(SERVERS))
+                else:
+                    entries.append(entry)
+        now = self.clock.now_ms()
+        self.dispatch(ServersListed(now, revision, tuple(entries), frozenset(unreadable_ids)))
+
+    def _on_change(self, item: Item) -> None:
+        now = self.clock.now_ms()
+        if item.key == CONFIGURATION:
+            self._on_configuration(item)
+        elif item.key.startswith(SERVERS):
+            if item.value is None:
+                server_id = item.key.removeprefix(SERVERS)
+                self.dispatch(ServerEntryRemoved(now, server_id, item.revision))
+            elif (entry := self._entry(item)) is not None:
+                self.dispatch(ServerSeen(now, entry))
+
+    def _on_configuration(self, item: Item) -> None:
+        if item.value is None:
+            return
+        try:
+            configuration = read_configuration(item.value)
+        except DocumentError as error:
+            fields: dict[str, object] = {"revision": item.revision, "error": str(error)}
+            self.log("configuration_unreadable", fields, True)
+            return
+        self.dispatch(ConfigurationSeen(self.clock.now_ms(), configuration))
+
+    def _entry(self, item: Item) -> ServerEntry | None:
+        server_id = item.key.removeprefix(SERVERS)
+        try:
+            return read_server(server_id, item.revision, item.value or b"")
+        except DocumentError as error:
+            fields: dict[str, object] = {"server": server_id, "error": str(error)[:120]}
+            self.log("entry_unreadable", fields, False)
+            return None
--- /dev/null
+++ b/turmerictiller/transport/http_client.py
@@ -0,0 +1,298 @@
+"""Connections to servers, kept for further requests."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, cast
+
+import httptools
+
+from turmerictiller.forwarding.events import Failure
+from turmerictiller.transport.messages import RawResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from turmerictiller.clock import Clock, Millis
+    from turmerictiller.transport.messages import Headers
+
+# A connection takes 1 to 6 ms to open; a busy server may let it wait for a slot.
+CONNECT_TIMEOUT_MS = 250.0
+# Bytes that are not acknowledged for so long are lost: connections can go silent without a reset.
+UNACKNOWLEDGED_MS = 1_000
+DEFAULT_IDLE_MS = 4_000.0  # for servers that do not tell how long they keep idle connections
+IDLE_MARGIN_MS = 1_000.0  # servers tell whole seconds
+FRESH_MS = 500.0  # idle time up to which a connection carries a request that must not be lost
+MAX_IDLE = 4  # idle connections kept per address
+MAX_ANSWER_BYTES = 8_388_608
+
+_KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request on a connection, and what is called with its end.
+
+    :param accept: returns whether a response belongs to this request.
+    """
+
+    data: bytes
+    accept: Callable[[RawResponse], bool]
+    on_response: Callable[[RawResponse], None]
+    on_failure: Callable[[Failure, bool], None]
+    connection: ClientConnection | None = None
+    opening: asyncio.Task[None] | None = None
+    ended: bool = False
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server."""
+
+    def __init__(self, pool: ConnectionPool, address: str) -> None:
+        self.pool = pool
+        self.address = address
+        self.exchange: Exchange | None = None
+        self.idle_since: Millis = 0.0
+        self.keep_ms = DEFAULT_IDLE_MS
+        self.closed = False
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._complete: list[RawResponse] = []
+        self._reusable = True
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._reason = b""
+        self._headers: Headers = []
+        self._values: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._in_message = False
+        self._until_close = False
+
+    def send(self, exchange: Exchange) -> None:
+        """Send a request on this idle connection."""
+        exchange.connection = self
+        self.exchange = exchange
+        assert self._transport is not None
+        self._transport.write(exchange.data)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are no subclasses of asyncio.Transport.
+        self._transport = cast("asyncio.Transport", transport)
+        found = transport.get_extra_info("socket")
+        if found is not None:
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            found.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:
+            # Bytes that belong to no request.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, _AnswerTooLargeError):
+            if not self._complete:
+                self._fail(Failure.BAD_ANSWER)
+                return
+            self._reusable = False
+        self._deliver()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        self.pool.forget(self)
+        if self.exchange is None:
+            return
+        if exc is None and self._in_message and self._until_close:
+            # An answer without a length ends with its connection, unless that is reset.
+            self._reusable = False
+            self._finish_message(int(self._parser.get_status_code()))
+            self._deliver()
+            return
+        self._fail(Failure.CLOSED if exc is None else Failure.RESET)
+
+    # Callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        self._reset_message()
+        self._in_message = True
+
+    def on_status(self, status: bytes) -> None:
+        self._reason += status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+        self._values[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self._until_close = (
+            b"content-length" not in self._values and b"transfer-encoding" not in self._values
+        )
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            raise _AnswerTooLargeError
+
+    def on_message_complete(self) -> None:
+        status = int(self._parser.get_status_code())
+        if status < 200:
+            self._in_message = False
+            return
+        if not self._parser.should_keep_alive():
+            self._reusable = False
+        found = _KEEP_ALIVE.search(self._values.get(b"keep-alive", b""))
+        if found is not None:
+            told_ms = int(found[1]) * 1_000.0
+            self.keep_ms = max(told_ms - IDLE_MARGIN_MS, told_ms / 2)
+        self._finish_message(status)
+
+    def _finish_message(self, status: int) -> None:
+        body = b"".join(self._body)
+        self._complete.append(RawResponse(status, self._reason, self._headers, body, self._values))
+        self._in_message = False
+
+    def _deliver(self) -> None:
+        """Hand on the response of the request; others belong to no request and are dropped."""
+        complete, self._complete = self._complete, []
+        exchange = self.exchange
+        for response in complete:
+            if exchange is None or exchange.ended or not exchange.accept(response):
+                self._reusable = False
+                continue
+            self.exchange = None
+            exchange.ended = True
+            if len(complete) > 1 or self._in_message:
+                self._reusable = False
+            self._release()
+            exchange.on_response(response)
+
+    def _release(self) -> None:
+        assert self._transport is not None
+        if not self._reusable or self.closed or self._transport.get_write_buffer_size():
+            self.abort()
+            return
+        self.pool.keep(self)
+
+    def _fail(self, failure: Failure) -> None:
+        exchange, self.exchange = self.exchange, None
+        self.abort()
+        if exchange is not None and not exchange.ended:
+            exchange.ended = True
+            exchange.on_failure(failure, True)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.pool.forget(self)
+        self.exchange = None
+        if self._transport is not None and not self.closed:
+            self.closed = True
+            self._transport.abort()
+
+
+@dataclass
+class ConnectionPool:
+    """Idle connections by address; opens others as they are needed."""
+
+    clock: Clock
+    idle_by_address: dict[str, list[ClientConnection]] = field(default_factory=dict)
+    opened: int = 0
+
+    def send(self, address: str, exchange: Exchange, fresh: bool = False) -> None:
+        """Send a request on a kept connection, or open one for it.
+
+        :param fresh: use no connection that has been idle for long.
+        """
+        connection = self._take_idle(address, FRESH_MS if fresh else float("inf"))
+        if connection is not None:
+            connection.send(exchange)
+            return
+        self.opened += 1
+        loop = asyncio.get_running_loop()
+        exchange.opening = loop.create_task(self._open(address, exchange))
+
+    def abort(self, exchange: Exchange) -> None:
+        """End a request without an answer; its server notices the end of the connection."""
+        exchange.ended = True
+        if exchange.opening is not None:
+            exchange.opening.cancel()
+        if exchange.connection is not None and exchange.connection.exchange is exchange:
+            exchange.connection.abort()
+
+    def keep(self, connection: ClientConnection) -> None:
+        """Keep a connection for the next request."""
+        idle = self.idle_by_address.setdefault(connection.address, [])
+        connection.idle_since = self.clock.now_ms()
+        idle.append(connection)
+        if len(idle) > MAX_IDLE:
+            idle[0].abort()
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Remove a connection that has ended."""
+        idle = self.idle_by_address.get(connection.address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+            if not idle:
+                del self.idle_by_address[connection.address]
+
+    def close_address(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in list(self.idle_by_address.get(address, ())):
+            connection.abort()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self.idle_by_address):
+            self.close_address(address)
+
+    def _take_idle(self, address: str, max_idle_ms: Millis) -> ClientConnection | None:
+        idle = self.idle_by_address.get(address)
+        now = self.clock.now_ms()
+        while idle:
+            connection = idle[-1]
+            idle_ms = now - connection.idle_since
+            if idle_ms <= connection.keep_ms:
+                if idle_ms > max_idle_ms:
+                    return None
+                idle.pop()
+                return connection
+            connection.abort()
+            idle = self.idle_by_address.get(address)
+        return None
+
+    async def _open(self, address: str, exchange: Exchange) -> None:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self, address), host, int(port)
+                )
+        except TimeoutError:
+            _fail_unsent(exchange, Failure.CONNECT_TIMEOUT)
+            return
+        except (OSError, ValueError):
+            _fail_unsent(exchange, Failure.REFUSED)
+            return
+        exchange.opening = None
+        if exchange.ended:
+            connection.abort()
+        elif connection.closed:
+            _fail_unsent(exchange, Failure.REFUSED)
+        else:
+            connection.send(exchange)
+
+
+def _fail_unsent(exchange: Exchange, failure: Failure) -> None:
+    if not exchange.ended:
+        exchange.ended = True
+        exchange.on_failure(failure, False)
+
+
+class _AnswerTooLargeError(Exception):
+    """An answer larger than any that a server may give."""
--- /dev/null
+++ b/turmerictiller/transport/process_metrics.py
@@ -0,0 +1,60 @@
+"""Counters and answer times of the forwarding process, as text."""
+
+from __future__ import annotations
+
+import resource
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from turmerictiller import __version__
+from turmerictiller.metrics import Series, new_series, record
+from turmerictiller.util.prometheus import family, named, summaries
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.state import State
+    from turmerictiller.transport.decision_log import DecisionLog
+
+
+@dataclass
+class ProcessMetrics:
+    """Metrics of one process."""
+
+    state: State
+    log: DecisionLog
+    answers: Series = field(default_factory=new_series)
+
+    def observe_answer(self, ms: float) -> None:
+        """Record the time from a request to its answer or refusal."""
+        record(self.answers, ms)
+
+    def text(self) -> str:
+        """Return all metrics in the Prometheus text format."""
+        state = self.state
+        info = {
+            "version": __version__,
+            "instance": state.settings.instance_id,
+            "failure_domain": state.settings.failure_domain,
+        }
+        configuration = state.configuration
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        pieces = [
+            family("info", "gauge", "Identity of the process.", [({}, 1.0)], info),
+            named("counter_total", "Counters of the decisions, by name.", state.counters),
+            family(
+                "configuration_version",
+                "gauge",
+                "Version in force.",
+                [({}, configuration.version if configuration else 0)],
+            ),
+            family("requests_in_flight", "gauge", "Requests.", [({}, len(state.requests_by_call))]),
+            family("attempts_in_flight", "gauge", "Attempts.", [({}, len(state.attempts_by_id))]),
+            family("servers", "gauge", "Known servers.", [({}, len(state.servers_by_id))]),
+            family(
+                "log_lines_dropped_total", "counter", "Log lines.", [({}, self.log.dropped_total)]
+            ),
+            family("cpu_seconds_total", "counter", "Processor time.", [({}, time.process_time())]),
+            family("resident_bytes_max", "gauge", "Peak memory.", [({}, usage.ru_maxrss * 1024.0)]),
+            *summaries("answer_seconds", "Time to answer.", "route", {"all": self.answers}),
+        ]
+        return "".join(pieces)
--- /dev/null
+++ b/turmerictiller/transport/shell.py
@@ -0,0 +1,265 @@
+"""The shell of the forwarding decisions: turns sockets and timers into events and runs effects."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from turmerictiller.errors import Ran, Refusal, RefusalType
+from turmerictiller.forwarding import effects, events
+from turmerictiller.forwarding.model import CallerLimits
+from turmerictiller.forwarding.reducer import reduce
+from turmerictiller.forwarding.state import new_state
+from turmerictiller.phases import ProcessPhase
+from turmerictiller.transport.decision_log import DecisionLog
+from turmerictiller.transport.http_client import ConnectionPool, Exchange
+from turmerictiller.transport.http_server import ConnectionErrors, HttpListener
+from turmerictiller.transport.process_metrics import ProcessMetrics
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from turmerictiller.clock import Clock, Millis
+    from turmerictiller.forwarding.settings import ForwardingSettings
+    from turmerictiller.transport.dialect import CallerRequest, Dialect
+    from turmerictiller.transport.http_server import ServerConnection
+    from turmerictiller.transport.messages import RawRequest, RawResponse
+
+
+@dataclass(slots=True)
+class Call:
+    """A request of a caller whose answer is due."""
+
+    connection: ServerConnection
+    raw: RawRequest
+    request: CallerRequest
+    prepared: bytes = b""
+    arrived_at: Millis = 0.0
+
+
+@dataclass
+class ForwardingShell:
+    """Sockets, timers and the state of one instance."""
+
+    settings: ForwardingSettings
+    dialect: Dialect
+    clock: Clock
+    max_connections: int
+    log: DecisionLog = field(init=False)
+    listener: HttpListener = field(init=False)
+    stopped: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        self.state = new_state(self.settings)
+        self.log = DecisionLog(self.clock, self.settings.instance_id)
+        self.metrics = ProcessMetrics(self.state, self.log)
+        self.pool = ConnectionPool(self.clock)
+        self.listener = HttpListener(
+            self.clock,
+            CallerLimits(),
+            self._connection_errors(),
+            self._on_request,
+            self._on_left,
+            self.max_connections,
+        )
+        self._calls_by_id: dict[int, Call] = {}
+        self._exchanges_by_attempt: dict[int, Exchange] = {}
+        self._next_call_id = 1
+        self._wake: asyncio.TimerHandle | None = None
+        self._run_by_effect: dict[type, Callable[[Any], None]] = {
+            effects.SendAttempt: self._send,
+            effects.AbortAttempt: self._abort,
+            effects.ForgetServer: lambda effect: self.pool.close_address(effect.address),
+            effects.PassAnswer: self._pass_answer,
+            effects.AnswerMerged: self._answer_merged,
+            effects.Refuse: self._refuse,
+            effects.UseLimits: self._use_limits,
+            effects.WakeAt: self._set_wake,
+            effects.LogDecision: self._log_decision,
+            effects.LeaveCallers: self._leave_callers,
+            effects.Stop: lambda effect: self.stopped.set(),
+        }
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send new connections."""
+        return self.state.phase is ProcessPhase.RUNNING
+
+    def now_ms(self) -> Millis:
+        return self.clock.now_ms()
+
+    def dispatch(self, event: events.Event) -> None:
+        """Reduce one event and carry out its effects; a fault ends only the call concerned."""
+        try:
+            new = reduce(self.state, event)
+        except Exception as error:
+            new, self.state.out = self.state.out, []
+            self._on_fault(event, error)
+        for effect in new:
+            try:
+                self._run_by_effect[type(effect)](effect)
+            except Exception as error:
+                self._log_fault("effect_failed", effect, error)
+
+    def close(self) -> None:
+        """Close all sockets and write what is left of the log."""
+        self.listener.close()
+        self.pool.close()
+        if self._wake is not None:
+            self._wake.cancel()
+        self.log.flush()
+
+    def _on_fault(self, event: events.Event, error: Exception) -> None:
+        self.state.counters["faults"] += 1
+        self._log_fault("event_failed", event, error)
+        if isinstance(event, events.RequestArrived):
+            refusal = Refusal(RefusalType.INTERNAL, "an internal error", Ran.MAYBE)
+            self._refuse(effects.Refuse(event.call_id, refusal))
+
+    def _log_fault(self, name: str, subject: object, error: Exception) -> None:
+        fields = {"type": type(subject).__name__, "error": repr(error)[:300]}
+        self.log.write(name, fields, urgent=True)
+
+    # Callers
+
+    def _connection_errors(self) -> ConnectionErrors:
+        def refusal(type_: RefusalType, message: str) -> bytes:
+            return self.dialect.write_refusal(Refusal(type_, message), True)
+
+        return ConnectionErrors(
+            refusal(RefusalType.MALFORMED_HTTP, "the request can not be read"),
+            refusal(RefusalType.HEADERS_TOO_LARGE, "the headers are too large"),
+            refusal(RefusalType.BODY_TOO_LARGE, "the body is too large"),
+            refusal(RefusalType.TIMED_OUT_READING, "the request did not arrive in time"),
+        )
+
+    def _on_request(self, connection: ServerConnection, raw: RawRequest) -> None:
+        request = self.dialect.read_request(raw)
+        if request is None:
+            connection.answer(self.listener.errors.malformed, True)
+            return
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        connection.call_id = call_id
+        now = self.clock.now_ms()
+        self._calls_by_id[call_id] = Call(connection, raw, request, arrived_at=now)
+        fingerprint = hash((raw.method, raw.target, raw.body))
+        self.dispatch(
+            events.RequestArrived(
+                now,
+                call_id,
+                request.request_id,
+                request.host,
+                request.path,
+                request.budget_ms,
+                fingerprint,
+            )
+        )
+
+    def _on_left(self, connection: ServerConnection) -> None:
+        call_id = connection.call_id
+        if call_id is not None and self._calls_by_id.pop(call_id, None) is not None:
+            self.dispatch(events.CallerLeft(self.clock.now_ms(), call_id))
+
+    def _answer(self, call_id: int, write: Callable[[Call, bool], bytes]) -> None:
+        call = self._calls_by_id.pop(call_id, None)
+        if call is None:
+            return
+        close = call.connection.must_close or self.state.phase is not ProcessPhase.RUNNING
+        self.metrics.observe_answer(self.clock.now_ms() - call.arrived_at)
+        call.connection.answer(write(call, close), close)
+
+    def _pass_answer(self, effect: effects.PassAnswer) -> None:
+        self._answer(
+            effect.call_id, lambda call, close: self.dialect.write_answer(effect.answer, close)
+        )
+
+    def _answer_merged(self, effect: effects.AnswerMerged) -> None:
+        self._answer(
+            effect.call_id,
+            lambda call, close: self.dialect.write_merged(effect, call.request.request_id, close),
+        )
+
+    def _refuse(self, effect: effects.Refuse) -> None:
+        self._answer(
+            effect.call_id, lambda call, close: self.dialect.write_refusal(effect.refusal, close)
+        )
+
+    def _use_limits(self, effect: effects.UseLimits) -> None:
+        self.listener.limits = effect.limits
+
+    def _leave_callers(self, effect: effects.LeaveCallers) -> None:
+        self.listener.leave()
+        self._wait_for_callers()
+
+    def _wait_for_callers(self) -> None:
+        if not self.listener.connections:
+            self.dispatch(events.CallersLeft(self.clock.now_ms()))
+            return
+        asyncio.get_running_loop().call_later(0.02, self._wait_for_callers)
+
+    # Servers
+
+    def _send(self, effect: effects.SendAttempt) -> None:
+        attempt_id = effect.attempt_id
+        call = self._calls_by_id.get(effect.call_id)
+        if call is None:
+            self.state.counters["attempts.unsent"] += 1
+            self._later_failed(attempt_id)
+            return
+        if not call.prepared:
+            call.prepared = self.dialect.prepare(call.raw)
+        data = self.dialect.write_attempt(
+            call.prepared, call.raw.body, effect.server_id, effect.budget_ms
+        )
+        request_id = call.request.request_id.encode("latin-1")
+        exchange = Exchange(
+            data,
+            lambda response: self.dialect.accepts(response, request_id),
+            lambda response: self._on_response(attempt_id, response),
+            lambda failure, may_have_run: self._on_failure(attempt_id, failure, may_have_run),
+        )
+        self._exchanges_by_attempt[attempt_id] = exchange
+        self.pool.send(effect.address, exchange, effect.fresh)
+
+    def _later_failed(self, attempt_id: int) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._on_failure, attempt_id, events.Failure.CLOSED, False)
+
+    def _abort(self, effect: effects.AbortAttempt) -> None:
+        exchange = self._exchanges_by_attempt.pop(effect.attempt_id, None)
+        if exchange is not None:
+            self.pool.abort(exchange)
+
+    def _on_response(self, attempt_id: int, response: RawResponse) -> None:
+        self._exchanges_by_attempt.pop(attempt_id, None)
+        read = self.dialect.read_answer(response)
+        now = self.clock.now_ms()
+        if isinstance(read, events.Failure):
+            may_have_run = read is not events.Failure.OTHER_SERVER
+            self.dispatch(events.AttemptFailed(now, attempt_id, read, may_have_run))
+        else:
+            self.dispatch(events.AttemptAnswered(now, attempt_id, read))
+
+    def _on_failure(self, attempt_id: int, failure: events.Failure, may_have_run: bool) -> None:
+        self._exchanges_by_attempt.pop(attempt_id, None)
+        now = self.clock.now_ms()
+        self.dispatch(events.AttemptFailed(now, attempt_id, failure, may_have_run))
+
+    # Timers and log
+
+    def _set_wake(self, effect: effects.WakeAt) -> None:
+        if self._wake is not None:
+            self._wake.cancel()
+        loop = asyncio.get_running_loop()
+        delay_s = max(0.0, effect.at - self.clock.now_ms()) / 1000
+        self._wake = loop.call_later(delay_s, self._on_wake, effect.at)
+
+    def _on_wake(self, due_at: Millis) -> None:
+        # The loop may wake a little early; a tick before the due time would run no timer.
+        self._wake = None
+        self.dispatch(events.Tick(max(self.clock.now_ms(), due_at)))
+
+    def _log_decision(self, effect: effects.LogDecision) -> None:
+        self.log.write(effect.event, effect.fields, effect.urgent)
