Test the forwarding path and mend what the tests found

Change: ejected servers that can be reached are the last resort; estimates fall towards 0.75 of the usual time with a half-life of 600 ms; probation of one second; such attempts end after the deadline. Stand-ins for the store and for servers, a state machine of hostile events, and the whole path on real sockets. Ruled out: load of the machine for the flaky count of served searches: all stand-in servers drew the same random numbers, so a request failed on all of them at once; they are seeded by their ids now.

--- /dev/null
+++ b/standins/shard_server.py
@@ -0,0 +1,229 @@
+"""A server as the users' platform runs them: slots, a queue, signed answers, and faults on demand.
+
+Several servers share one process; each listens at an address of its own. ``PUT /control`` at any of
+them sets the behaviour of that server: ``{"behaviour": NAME, "share": S, "delay_ms": MS}``; ``GET
+/control`` tells what it ran. The names of behaviours are the members of ``BEHAVIOURS``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import hashlib
+import json
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+RECORD_BYTES = 16
+RECORDS = 25
+BEHAVIOURS = frozenset(
+    {
+        "ok",
+        "shed",
+        "error",
+        "truncate",
+        "extra",
+        "late_extra",
+        "foreign_first",
+        "unframed",
+        "unframed_reset",
+        "lost",
+        "silent",
+        "garbage",
+        "encoded",
+        "unsigned",
+        "close",
+        "slow",
+    }
+)
+SLOW_MS = 300.0
+
+
+@dataclass
+class ShardServer:
+    """One server.
+
+    :param ran: number of runs by request.
+    """
+
+    id: str
+    service: str
+    address: str = ""
+    slots: int = 3
+    queue: int = 18
+    work_ms: float = 5.0
+    behaviour: str = "ok"
+    share: float = 1.0
+    draining: bool = False
+    incarnation: int = 1
+    ran: Counter[str] = field(default_factory=Counter)
+    paths_by_request: dict[str, str] = field(default_factory=dict)
+    last_run_at: float = 0.0
+    waiting: int = 0
+    rng: random.Random = field(init=False)
+    gate: asyncio.Semaphore | None = None
+    late: bytes = b""
+
+    def __post_init__(self) -> None:
+        # Servers with equal generators would fail the same request all at once.
+        self.rng = random.Random(self.id)
+
+    def signature(self, request_id: str) -> str:
+        """Return the proof that this server ran a request."""
+        return f"{self.id}.{self.incarnation:x}.{request_id}"
+
+    def records(self, path: str) -> bytes:
+        """Return the records for a path, in no order."""
+        digest = hashlib.shake_128(f"{self.service}{path}".encode()).digest(RECORDS * RECORD_BYTES)
+        return digest + b"rest"
+
+    def entry(self, domain: str = "here") -> dict[str, object]:
+        """Return what this server publishes of itself."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": domain,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "draining" if self.draining else "ready",
+            "warmupLeftMs": 0,
+            "sequence": 1,
+            "born": self.incarnation,
+        }
+
+    async def open(self, address: str) -> asyncio.Server:
+        """Listen at an address; port 0 takes a free one."""
+        host, _, port = address.rpartition(":")
+        self.gate = asyncio.Semaphore(self.slots)
+        server = await asyncio.start_server(self._serve, host, int(port))
+        self.address = f"{host}:{server.sockets[0].getsockname()[1]}"
+        return server
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        lines = head.split("\r\n")
+        method, path, _ = lines[0].split(" ", 2)
+        headers = {
+            name.strip().lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines[1:] if line)
+        }
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        if path == "/control":
+            writer.write(_response(200, [], self._control(method, body)))
+            return True
+        if headers.get("target-instance", self.id) != self.id:
+            writer.write(_response(421, [("Instance-Id", self.id)], b""))
+            return True
+        request_id = headers.get("request-id", "")
+        is_faulty = self.rng.random() < self.share
+        behaviour = self.behaviour if is_faulty else "ok"
+        if behaviour == "shed" or self.waiting >= self.queue:
+            writer.write(_response(503, [("Not-Executed", "1"), ("Request-Id", request_id)], b""))
+            return True
+        await self._run(request_id, f"{method} {path}", behaviour)
+        return await self._answer(writer, request_id, path, behaviour)
+
+    async def _run(self, request_id: str, path: str, behaviour: str) -> None:
+        assert self.gate is not None
+        self.waiting += 1
+        async with self.gate:
+            self.waiting -= 1
+            self.ran[request_id] += 1
+            self.paths_by_request[request_id] = path
+            self.last_run_at = asyncio.get_running_loop().time()
+            await asyncio.sleep((SLOW_MS if behaviour == "slow" else self.work_ms) / 1000)
+
+    async def _answer(
+        self, writer: asyncio.StreamWriter, request_id: str, path: str, behaviour: str
+    ) -> bool:
+        headers = [("Server-Stamp", self.signature(request_id)), ("Request-Id", request_id)]
+        body = self.records(path)
+        whole = _response(200, headers, body)
+        if self.late:
+            late, self.late = self.late, b""
+            writer.write(late)
+        if behaviour == "error":
+            writer.write(_response(500, headers, b"failed"))
+        elif behaviour == "truncate":
+            writer.write(whole[:-10])
+            return False
+        elif behaviour == "extra":
+            writer.write(whole + whole)
+        elif behaviour == "late_extra":
+            writer.write(whole)
+            self.late = whole
+        elif behaviour == "foreign_first":
+            foreign = [("Server-Stamp", self.signature("other")), ("Request-Id", "other")]
+            writer.write(_response(200, foreign, b"f" * RECORD_BYTES) + whole)
+        elif behaviour in ("unframed", "unframed_reset"):
+            lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+            writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
+            if behaviour == "unframed_reset":
+                await writer.drain()
+                await asyncio.sleep(0.01)
+                writer.transport.abort()
+            return False
+        elif behaviour == "lost":
+            writer.transport.abort()
+            return False
+        elif behaviour == "silent":
+            await asyncio.sleep(3_600)
+        elif behaviour == "garbage":
+            writer.write(b"\x00\x01 no answer at all\r\n\r\n")
+        elif behaviour == "encoded":
+            writer.write(_response(200, [*headers, ("Content-Encoding", "gzip")], body))
+        elif behaviour == "unsigned":
+            writer.write(_response(200, [("Request-Id", request_id)], body))
+        elif behaviour == "close":
+            writer.write(_response(200, [*headers, ("Connection", "close")], body))
+            return False
+        else:
+            writer.write(whole)
+        return True
+
+    def _control(self, method: str, body: bytes) -> bytes:
+        if method == "PUT":
+            for name, value in json.loads(body).items():
+                setattr(self, name, value)
+        state = {
+            "id": self.id,
+            "ran": self.ran,
+            "paths": self.paths_by_request,
+            "last_run_at": self.last_run_at,
+        }
+        return json.dumps(state).encode()
+
+
+def _response(status: int, headers: list[tuple[str, str]], body: bytes) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in headers)]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+async def _run_all(servers: list[ShardServer], addresses: list[str]) -> None:
+    for server, address in zip(servers, addresses, strict=True):
+        await server.open(address)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run servers given as ``ID=SERVICE=IP:PORT`` until the process is ended."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("server", nargs="+")
+    given = [text.split("=") for text in parser.parse_args().server]
+    servers = [ShardServer(server_id, service) for server_id, service, _ in given]
+    asyncio.run(_run_all(servers, [address for _, _, address in given]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/forwarding/driving.py
@@ -0,0 +1,163 @@
+"""Drives the reducer of the forwarding decisions by hand."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeVar
+
+from turmerictiller.forwarding.effects import (
+    AnswerMerged,
+    LogDecision,
+    PassAnswer,
+    Refuse,
+    SendAttempt,
+)
+from turmerictiller.forwarding.events import (
+    AttemptAnswered,
+    AttemptFailed,
+    ConfigurationSeen,
+    Failure,
+    RequestArrived,
+    ServersListed,
+    Tick,
+    UpstreamAnswer,
+)
+from turmerictiller.forwarding.model import Configuration, Route, ServerEntry, Service
+from turmerictiller.forwarding.reducer import reduce
+from turmerictiller.forwarding.settings import ForwardingSettings
+from turmerictiller.forwarding.state import State, new_state
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.effects import Effect
+    from turmerictiller.forwarding.events import Event
+
+T = TypeVar("T")
+
+HOST = "search.example"
+SETTINGS = ForwardingSettings("e1", "north", extra_slack=120.0)
+
+
+def gather_route(shards: int = 4, min_share: float = 0.75, target_ms: float = 100.0) -> Route:
+    """Return a route over shards ``s0``, ``s1`` and so on."""
+    names = tuple(f"s{index}" for index in range(shards))
+    return Route("all", HOST, "/all/", names, {}, True, 1_000.0, target_ms, 1, 2, 3, min_share)
+
+
+def single_route(idempotent: bool = True, **weights: float) -> Route:
+    """Return a route to one service, or to several by weight."""
+    name = "one" if idempotent else "once"
+    prefix = f"/{name}/"
+    return Route(name, HOST, prefix, (), weights or {"a": 1.0}, idempotent, 2_000.0, 500.0, 2, 2)
+
+
+def configuration(*routes: Route, version: int = 1, max_connections: int = 30) -> Configuration:
+    """Return a configuration with these routes and all services that they name."""
+    by_prefix = {route.prefix: route for route in routes}
+    services = {name: Service(name, max_connections) for route in routes for name in route.services}
+    return Configuration(version, {HOST: by_prefix}, services)
+
+
+def entry(server_id: str, service: str, revision: int = 1, **changes: object) -> ServerEntry:
+    """Return the entry of a server in the domain of the instance."""
+    values: dict[str, object] = {
+        "id": server_id,
+        "revision": revision,
+        "service": service,
+        "address": f"10.0.0.1:{9000 + abs(hash(server_id)) % 900}",
+        "domain": "north",
+        "slots": 3,
+    }
+    return ServerEntry(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def good(body: bytes = b"", signature: bytes = b"sig", status: int = 200) -> UpstreamAnswer:
+    """Return a whole answer."""
+    return UpstreamAnswer(status, signature, body)
+
+
+NOT_RUN = UpstreamAnswer(503, b"", b"", not_run=True)
+
+
+@dataclass
+class Driver:
+    """A state, its time, and the effects so far."""
+
+    state: State = field(default_factory=lambda: new_state(SETTINGS))
+    now: float = 1_000.0
+    effects: list[Effect] = field(default_factory=list)
+    last_call: int = 0
+
+    def give(self, event: Event) -> list[Effect]:
+        """Reduce an event and return its effects."""
+        new = reduce(self.state, event)
+        self.effects += new
+        return new
+
+    def start(self, config: Configuration, servers_per_service: int = 3) -> Driver:
+        """Publish a configuration and servers ``<service>-1`` and so on of each service."""
+        self.give(ConfigurationSeen(self.now, config))
+        entries = tuple(
+            entry(f"{name}-{index}", name)
+            for name in config.services_by_name
+            for index in range(1, servers_per_service + 1)
+        )
+        self.give(ServersListed(self.now, 1, entries))
+        return self
+
+    def request(
+        self, path: str = "/all/x", budget_ms: float | None = 900.0, fingerprint: int = 0
+    ) -> int:
+        """Send a request and return its call."""
+        self.last_call += 1
+        call_id = self.last_call
+        event = RequestArrived(
+            self.now, call_id, f"r{call_id}", HOST, path, budget_ms, fingerprint or call_id
+        )
+        self.give(event)
+        return call_id
+
+    def wait(self, ms: float) -> list[Effect]:
+        """Let time pass, with a tick at each millisecond that has one due."""
+        new: list[Effect] = []
+        end = self.now + ms
+        while True:
+            due_at = self.state.timers.next_at()
+            if due_at is None or due_at > end:
+                break
+            self.now = max(self.now, due_at)
+            new += self.give(Tick(self.now))
+        self.now = end
+        return new
+
+    def answer(self, sent: SendAttempt, answer: UpstreamAnswer | None = None) -> list[Effect]:
+        """Answer an attempt; without an answer, by one that names its server."""
+        given = answer or good(signature=f"{sent.server_id}/{sent.attempt_id}".encode())
+        return self.give(AttemptAnswered(self.now, sent.attempt_id, given))
+
+    def fail(
+        self, sent: SendAttempt, failure: Failure = Failure.RESET, may_have_run: bool = True
+    ) -> list[Effect]:
+        """Let an attempt fail."""
+        return self.give(AttemptFailed(self.now, sent.attempt_id, failure, may_have_run))
+
+    def sent(self, call_id: int) -> list[SendAttempt]:
+        """Return all attempts of a call so far."""
+        return [item for item in self.of(SendAttempt) if item.call_id == call_id]
+
+    def of(self, kind: type[T]) -> list[T]:
+        """Return all effects of a kind so far."""
+        return [effect for effect in self.effects if isinstance(effect, kind)]
+
+    def outcome(self, call_id: int) -> PassAnswer | AnswerMerged | Refuse | None:
+        """Return what the caller was told, which must be one thing at most."""
+        found = [
+            effect
+            for effect in self.effects
+            if isinstance(effect, PassAnswer | AnswerMerged | Refuse) and effect.call_id == call_id
+        ]
+        assert len(found) <= 1
+        return found[0] if found else None
+
+    def logged(self, event: str) -> list[LogDecision]:
+        """Return the lines of a kind so far."""
+        return [item for item in self.of(LogDecision) if item.event == event]
--- /dev/null
+++ b/tests/forwarding/test_choice.py
@@ -0,0 +1,110 @@
+"""Tests of the choice of a server."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from tests.forwarding.driving import Driver, configuration, entry, single_route
+from turmerictiller.forwarding.choice import (
+    FAILURES_TO_EJECT,
+    FIRST_EJECTION_MS,
+    PROBATION_MS,
+)
+from turmerictiller.forwarding.events import Failure, ServerSeen
+
+
+def started(idempotent: bool = True, servers: int = 3) -> Driver:
+    """Return a driver whose route has answer times to compare with."""
+    driver = Driver().start(configuration(single_route(idempotent)), servers)
+    for _ in range(30):
+        serve(driver, dict.fromkeys(("a-1", "a-2", "a-3"), 20.0))
+    return driver
+
+
+def serve(driver: Driver, ms_by_server: dict[str, float]) -> str:
+    """Send one request, answer it after its server's time, and return the first server."""
+    path = "/one/x" if "/one/" in driver_prefixes(driver) else "/once/x"
+    call_id = driver.request(path, budget_ms=2_000)
+    sent = driver.sent(call_id)[0]
+    driver.wait(ms_by_server[sent.server_id])
+    driver.answer(sent)
+    return sent.server_id
+
+
+def driver_prefixes(driver: Driver) -> set[str]:
+    """Return the prefixes of the configuration in force."""
+    assert driver.state.configuration is not None
+    return {
+        prefix
+        for by_prefix in driver.state.configuration.routes_by_host.values()
+        for prefix in by_prefix
+    }
+
+
+def test_slow_server_gets_little_work_but_is_tried_again() -> None:
+    """Guards against callers that wait for a slow server, and against one that stays shut out."""
+    driver = started()
+    times = {"a-1": 160.0, "a-2": 20.0, "a-3": 20.0}
+    counts = Counter(serve(driver, times) for _ in range(100))
+    assert counts["a-1"] <= 10
+    times["a-1"] = 20.0
+    counts = Counter(serve(driver, times) for _ in range(300))
+    assert counts["a-1"] >= 50
+
+
+def test_unreachable_server_is_ejected_and_tested_with_repeatable_work_only() -> None:
+    """Guards against requests that are lost on a server which is known to be down."""
+    for idempotent in (True, False):
+        driver = started(idempotent)
+        down = "a-1"
+        path = "/one/x" if idempotent else "/once/x"
+        for _ in range(40):
+            call_id = driver.request(path)
+            while driver.outcome(call_id) is None:
+                sent = driver.sent(call_id)[-1]
+                if sent.server_id == down:
+                    driver.fail(sent, Failure.REFUSED, may_have_run=False)
+                else:
+                    driver.wait(20)
+                    driver.answer(sent)
+            driver.wait(500)
+        failed = driver.state.servers_by_id[down]
+        assert failed.failures >= FAILURES_TO_EJECT
+        driver.wait(max(0.0, failed.ejected_until - driver.now))
+        asked = [driver.sent(driver.request(path))[0].server_id for _ in range(4)]
+        assert (down in asked) is idempotent
+
+
+def test_server_that_failed_gets_all_kinds_of_requests_again_after_a_while() -> None:
+    """Guards against a service without servers after a few lost answers."""
+    driver = started(idempotent=False)
+    for server in driver.state.servers_by_id.values():
+        server.failures = FAILURES_TO_EJECT
+        server.ejected_until = driver.now + FIRST_EJECTION_MS
+    driver.wait(FIRST_EJECTION_MS + PROBATION_MS)
+    call_ids = [driver.request("/once/x") for _ in range(3)]
+    assert {driver.sent(call_id)[0].server_id for call_id in call_ids} == {"a-1", "a-2", "a-3"}
+
+
+def test_server_that_does_not_answer_gets_no_further_work() -> None:
+    """Guards against requests that pile up on a server that has gone silent."""
+    driver = started()
+    silent = driver.sent(driver.request("/one/x"))[0].server_id
+    driver.wait(260)
+    asked = {driver.sent(driver.request("/one/x"))[0].server_id for _ in range(4)}
+    assert silent not in asked
+
+
+def test_limit_follows_the_connections_that_all_instances_share() -> None:
+    """Guards against more connections than a server accepts from all instances."""
+    driver = Driver().start(configuration(single_route(), max_connections=30), 1)
+    calls = [driver.request("/one/x") for _ in range(5)]
+    assert [len(driver.sent(call_id)) for call_id in calls] == [1, 1, 1, 0, 0]
+
+
+def test_own_failure_domain_is_preferred_when_servers_are_alike() -> None:
+    """Guards against needless traffic between failure domains."""
+    driver = started(servers=2)
+    driver.give(ServerSeen(driver.now, entry("a-1", "a", 2, domain="south")))
+    counts = Counter(serve(driver, {"a-1": 20.0, "a-2": 20.0}) for _ in range(50))
+    assert counts["a-2"] >= 40
--- /dev/null
+++ b/tests/forwarding/test_extra_attempts.py
@@ -0,0 +1,62 @@
+"""Tests of the budget of attempts beyond the first."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from turmerictiller.forwarding.extra_attempts import ASSUMED_INSTANCES, WindowCount, take_extra
+from turmerictiller.forwarding.settings import ForwardingSettings
+from turmerictiller.forwarding.state import new_state, service_state
+
+SLACK = 60.0
+SETTINGS = ForwardingSettings("e1", "north", extra_ratio=0.2, extra_slack=SLACK)
+WINDOW_MS = SETTINGS.extra_window_ms
+
+
+@given(st.lists(st.tuples(st.floats(0, 400), st.booleans()), max_size=400))
+def test_extra_attempts_of_any_window_stay_within_the_share(
+    steps: list[tuple[float, bool]],
+) -> None:
+    """Guards against more repeats than the instance's share, in whatever window they are counted."""
+    state = new_state(SETTINGS)
+    service = service_state(state, "a")
+    firsts: list[float] = []
+    extras: list[float] = []
+    for gap_ms, is_first in steps:
+        state.now += gap_ms
+        if is_first:
+            service.first_attempts.add(state.now)
+            firsts.append(state.now)
+        elif take_extra(state, service):
+            extras.append(state.now)
+    for end in extras:
+        in_window = sum(end - WINDOW_MS < at <= end for at in extras)
+        # The ends of buckets may hide requests of one bucket more than the window.
+        requests = sum(end - 1.1 * WINDOW_MS < at <= end for at in firsts)
+        assert in_window <= SETTINGS.extra_ratio * requests + SLACK / ASSUMED_INSTANCES
+
+
+@given(st.lists(st.floats(0, 3_000), max_size=100))
+def test_window_count_is_exact_within_a_bucket(gaps: list[float]) -> None:
+    """Guards against counts that drift after pauses longer than the window."""
+    count = WindowCount(500.0)
+    now = 0.0
+    times: list[float] = []
+    for gap in gaps:
+        now += gap
+        count.add(now)
+        times.append(now)
+        least = sum(now - at < 10_000 for at in times)
+        most = sum(now - at <= 10_500 for at in times)
+        assert least <= count.value(now) <= most
+
+
+def test_instances_together_stay_within_the_fixed_part() -> None:
+    """Guards against a fixed part that each instance takes for itself."""
+    allowed = 0
+    for _ in range(ASSUMED_INSTANCES):
+        state = new_state(SETTINGS)
+        while take_extra(state, service_state(state, "a")):
+            allowed += 1
+    assert 0 < allowed <= SLACK
--- /dev/null
+++ b/tests/forwarding/test_machine.py
@@ -0,0 +1,181 @@
+"""A state machine of hostile events that the forwarding decisions must survive."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tests.forwarding.driving import (
+    NOT_RUN,
+    Driver,
+    configuration,
+    entry,
+    gather_route,
+    good,
+    single_route,
+)
+from turmerictiller.errors import Ran
+from turmerictiller.forwarding.effects import AnswerMerged, Refuse, SendAttempt
+from turmerictiller.forwarding.events import (
+    CallerLeft,
+    ConfigurationSeen,
+    Failure,
+    RegistryLost,
+    ServerEntryRemoved,
+    ServerSeen,
+    ServersListed,
+    ShutdownRequested,
+)
+
+ROUTES = (gather_route(3, 0.6), single_route(True), single_route(False))
+PATHS = ("/all/x", "/one/x", "/once/x")
+SERVERS = tuple(f"{service}-{index}" for service in ("s0", "s1", "s2", "a") for index in (1, 2, 3))
+
+
+class ForwardingMachine(RuleBasedStateMachine):
+    """Requests, answers, failures, changes of servers and configurations in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.driver = Driver().start(configuration(*ROUTES))
+        self.revision = 10
+        self.version = 1
+        self.path_by_call: dict[int, str] = {}
+        self.left: set[int] = set()
+        self.ended: set[int] = set()
+        self.not_run: set[int] = set()
+
+    def open_attempts(self) -> list[SendAttempt]:
+        """Return the attempts that have not ended."""
+        known = self.driver.state.attempts_by_id
+        return [sent for sent in self.driver.of(SendAttempt) if sent.attempt_id in known]
+
+    @rule(path=st.sampled_from(PATHS), budget_ms=st.sampled_from([None, 0.0, 30.0, 800.0, 5_000.0]))
+    def request(self, path: str, budget_ms: float | None) -> None:
+        call_id = self.driver.request(path, budget_ms, fingerprint=7)
+        self.path_by_call[call_id] = path
+
+    @precondition(lambda self: self.open_attempts())
+    @rule(data=st.data(), status=st.sampled_from([200, 200, 200, 404, 500, 503]))
+    def answer(self, data: st.DataObject, status: int) -> None:
+        sent = data.draw(st.sampled_from(self.open_attempts()))
+        self.driver.answer(sent, good(b"r" * 32, f"sig{sent.attempt_id}".encode(), status))
+
+    @precondition(lambda self: self.open_attempts())
+    @rule(data=st.data())
+    def turn_away(self, data: st.DataObject) -> None:
+        sent = data.draw(st.sampled_from(self.open_attempts()))
+        self.not_run.add(sent.attempt_id)
+        self.driver.answer(sent, NOT_RUN)
+
+    @precondition(lambda self: self.open_attempts())
+    @rule(data=st.data(), failure=st.sampled_from(Failure))
+    def fail(self, data: st.DataObject, failure: Failure) -> None:
+        sent = data.draw(st.sampled_from(self.open_attempts()))
+        unsent = failure in (Failure.REFUSED, Failure.CONNECT_TIMEOUT, Failure.OTHER_SERVER)
+        if unsent:
+            self.not_run.add(sent.attempt_id)
+        self.driver.fail(sent, failure, may_have_run=not unsent)
+
+    @rule(data=st.data())
+    def leave(self, data: st.DataObject) -> None:
+        if self.path_by_call:
+            call_id = data.draw(st.sampled_from(sorted(self.path_by_call)))
+            if self.driver.outcome(call_id) is None:
+                self.left.add(call_id)
+            self.driver.give(CallerLeft(self.driver.now, call_id))
+
+    @rule(ms=st.sampled_from([0.0, 1.0, 20.0, 100.0, 400.0, 3_000.0]))
+    def wait(self, ms: float) -> None:
+        self.driver.wait(ms)
+
+    @rule(server=st.sampled_from(SERVERS), draining=st.booleans(), born=st.integers(0, 2))
+    def publish(self, server: str, draining: bool, born: int) -> None:
+        self.revision += 1
+        new = entry(
+            server, server.partition("-")[0], self.revision, draining=draining, incarnation=born
+        )
+        self.driver.give(ServerSeen(self.driver.now, new))
+
+    @rule(server=st.sampled_from(SERVERS), back=st.integers(0, 3))
+    def remove(self, server: str, back: int) -> None:
+        self.revision += 1
+        event = ServerEntryRemoved(self.driver.now, server, self.revision - back)
+        self.driver.give(event)
+
+    @rule(servers=st.sets(st.sampled_from(SERVERS)))
+    def publish_list(self, servers: set[str]) -> None:
+        self.revision += 1
+        entries = tuple(
+            entry(name, name.partition("-")[0], self.revision) for name in sorted(servers)
+        )
+        self.driver.give(ServersListed(self.driver.now, self.revision, entries))
+
+    @rule(step=st.integers(-2, 2), routes=st.sets(st.sampled_from([0, 1, 2]), min_size=1))
+    def configure(self, step: int, routes: set[int]) -> None:
+        self.version += step
+        chosen = [ROUTES[index] for index in sorted(routes)]
+        self.driver.give(
+            ConfigurationSeen(self.driver.now, configuration(*chosen, version=self.version))
+        )
+
+    @rule()
+    def lose_registry(self) -> None:
+        self.driver.give(RegistryLost(self.driver.now, "down"))
+
+    @precondition(lambda self: len(self.path_by_call) > 8)
+    @rule()
+    def shut_down(self) -> None:
+        self.driver.give(ShutdownRequested(self.driver.now))
+
+    @invariant()
+    def each_caller_is_told_one_thing(self) -> None:
+        for call_id in self.path_by_call:
+            outcome = self.driver.outcome(call_id)
+            is_open = call_id in self.driver.state.requests_by_call
+            assert not (outcome is not None and is_open)
+            assert outcome is not None or is_open or call_id in self.left
+
+    @invariant()
+    def at_most_the_allowed_servers_run_a_request(self) -> None:
+        runs: dict[tuple[int, str], set[str]] = defaultdict(set)
+        for sent in self.driver.of(SendAttempt):
+            if sent.attempt_id not in self.not_run:
+                runs[sent.call_id, sent.server_id.partition("-")[0]].add(sent.server_id)
+        for (call_id, _), servers in runs.items():
+            allowed = 1 if self.path_by_call[call_id] == "/once/x" else 2
+            assert len(servers) <= allowed
+
+    @invariant()
+    def not_run_is_true(self) -> None:
+        for call_id in self.path_by_call:
+            outcome = self.driver.outcome(call_id)
+            if isinstance(outcome, Refuse) and outcome.refusal.ran is Ran.NO:
+                sent = {item.attempt_id for item in self.driver.sent(call_id)}
+                assert sent <= self.not_run
+
+    @invariant()
+    def merged_answers_are_of_distinct_parts(self) -> None:
+        for effect in self.driver.of(AnswerMerged):
+            assert len(set(effect.signatures)) == len(effect.signatures)
+            assert len(effect.signatures) + effect.missing == 3
+            assert len(effect.signatures) >= 2
+
+    @invariant()
+    def outstanding_attempts_are_known(self) -> None:
+        known = set(self.driver.state.attempts_by_id)
+        for server in self.driver.state.servers_by_id.values():
+            assert set(server.outstanding) <= known
+
+    def teardown(self) -> None:
+        """Check that nothing is left when everything has had time to end."""
+        self.driver.wait(20_000)
+        assert self.driver.state.requests_by_call == {}
+        assert self.driver.state.attempts_by_id == {}
+
+
+TestForwardingMachine = ForwardingMachine.TestCase
+TestForwardingMachine.settings = settings(max_examples=60, stateful_step_count=60, deadline=None)
--- /dev/null
+++ b/tests/forwarding/test_shutdown.py
@@ -0,0 +1,64 @@
+"""Tests of the graceful end of the process."""
+
+from __future__ import annotations
+
+from tests.forwarding.driving import Driver, configuration, gather_route, single_route
+from turmerictiller.errors import RefusalType
+from turmerictiller.forwarding.effects import AnswerMerged, LeaveCallers, Refuse, Stop
+from turmerictiller.forwarding.events import CallersLeft, ShutdownRequested
+from turmerictiller.phases import ProcessPhase
+
+
+def stopping() -> Driver:
+    """Return a driver that has just been told to stop."""
+    driver = Driver().start(configuration(gather_route(), single_route(idempotent=False)))
+    driver.give(ShutdownRequested(driver.now))
+    return driver
+
+
+def test_requests_are_served_until_the_balancer_has_noticed() -> None:
+    """Guards against requests that a shutdown cuts off."""
+    driver = stopping()
+    assert driver.state.phase is ProcessPhase.DRAINING
+    call_id = driver.request()
+    for sent in driver.sent(call_id):
+        driver.answer(sent)
+    assert isinstance(driver.outcome(call_id), AnswerMerged)
+    driver.wait(2_000)
+    assert driver.of(LeaveCallers) == []
+    driver.wait(1_000)
+    assert len(driver.of(LeaveCallers)) == 1
+    assert driver.of(Stop) == []
+    driver.give(CallersLeft(driver.now))
+    assert len(driver.of(Stop)) == 1
+
+
+def test_every_request_has_its_answer_before_the_kill() -> None:
+    """Guards against requests without an answer when the process is killed."""
+    driver = Driver().start(configuration(gather_route(), single_route(idempotent=False)))
+    call_id = driver.request("/once/x", budget_ms=60_000)
+    driver.give(ShutdownRequested(driver.now))
+    driver.wait(SECONDS_OF_GRACE * 1_000 - 100)
+    assert isinstance(driver.outcome(call_id), Refuse)
+    assert len(driver.of(Stop)) == 1
+
+
+def test_request_that_must_not_be_cut_is_refused_shortly_before_the_end() -> None:
+    """Guards against a pickup whose outcome nobody learns."""
+    driver = stopping()
+    driver.wait(4_500)
+    outcome = driver.outcome(driver.request("/once/x"))
+    assert isinstance(outcome, Refuse)
+    assert outcome.refusal.type is RefusalType.SHUTTING_DOWN
+
+
+def test_second_order_to_stop_changes_nothing() -> None:
+    """Guards against a grace period that begins anew."""
+    driver = stopping()
+    ends_at = driver.state.ends_at
+    driver.wait(1_000)
+    driver.give(ShutdownRequested(driver.now))
+    assert driver.state.ends_at == ends_at
+
+
+SECONDS_OF_GRACE = 6
--- /dev/null
+++ b/tests/platform/serving.py
@@ -0,0 +1,244 @@
+"""An instance on stand-ins for the platform's store and servers, all in the test's own loop."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+from standins.shard_server import ShardServer
+from standins.store import StoreStandin, application, as_value
+from turmerictiller.platform.application import PlatformApplication
+from turmerictiller.platform.settings import read_settings
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+HOST = "search.example"
+SHARDS = 4
+
+SETTINGS = """
+node = "front-here-1"
+zone = "here"
+unknown = ["ignored"]
+[listenAddrs]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+maxFds = 4100
+[bounds]
+drainMs = 3000
+graceS = {grace_s}
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = {slack}
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def free_ports(number: int) -> list[int]:
+    """Return ports that nobody listens on now."""
+    sockets = [socket.socket() for _ in range(number)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def configuration(version: int = 1, shards: int = SHARDS, **changes: Any) -> dict[str, Any]:
+    """Return an operator's configuration with a search, a single and a non-idempotent route."""
+    names = [f"s{index}" for index in range(shards)]
+    common = {"host": HOST, "timeoutMs": 2_000, "maxAttempts": 2, "priority": 1}
+    routes: list[dict[str, Any]] = [
+        {
+            **common,
+            "name": "search",
+            "prefix": "/search/",
+            "kind": "idempotent",
+            "targetLatencyMs": 200,
+            "gather": names,
+            "topK": 5,
+            "minShare": 0.75,
+        },
+        {
+            **common,
+            "name": "one",
+            "prefix": "/one/",
+            "kind": "idempotent",
+            "targetLatencyMs": 500,
+            "service": "a",
+        },
+        {
+            **common,
+            "name": "once",
+            "prefix": "/once/",
+            "kind": "non_idempotent",
+            "targetLatencyMs": 500,
+            "service": "a",
+        },
+    ]
+    services = [
+        {"name": name, "healthPath": "/health", "maxConns": 31, "protocol": "h1", "tls": False}
+        for name in (*names, "a")
+    ]
+    limits = {
+        "maxHeaderBytes": 16_384,
+        "maxBodyBytes": 10_000,
+        "headerTimeoutMs": 1_000,
+        "idleTimeoutMs": 15_000,
+    }
+    document = {"version": version, "routes": routes, "services": services, "limits": limits}
+    return {**document, **changes}
+
+
+@dataclass
+class Answer:
+    """An answer that a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Caller:
+    """One connection of a caller."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    sent: int = 0
+
+    def write(
+        self,
+        path: str,
+        method: str = "GET",
+        request_id: str = "",
+        body: bytes = b"",
+        budget_ms: int | None = 1_500,
+        host: str = HOST,
+        extra: str = "",
+    ) -> None:
+        """Send a request."""
+        self.sent += 1
+        request_id = request_id or f"{id(self):x}{self.sent}"
+        head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {request_id}\r\n{extra}"
+        if budget_ms is not None:
+            head += f"Deadline-Ms: {budget_ms}\r\n"
+        if body:
+            head += f"Content-Length: {len(body)}\r\n"
+        self.writer.write(f"{head}\r\n".encode() + body)
+
+    async def read(self) -> Answer:
+        """Read one answer."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        headers = {}
+        for line in head[1:]:
+            name, _, value = line.partition(":")
+            if name:
+                headers[name.lower()] = value.strip()
+        body = await self.reader.readexactly(int(headers["content-length"]))
+        return Answer(int(head[0].split(" ")[1]), headers, body)
+
+    async def ask(self, path: str, **options: Any) -> Answer:
+        """Send a request and read its answer."""
+        self.write(path, **options)
+        return await asyncio.wait_for(self.read(), 5)
+
+
+@dataclass
+class Deployment:
+    """A store, servers and one instance."""
+
+    store: StoreStandin
+    servers_by_id: dict[str, ShardServer]
+    instance: PlatformApplication
+    running: asyncio.Task[None]
+    ports: dict[str, int]
+    callers: list[Caller] = field(default_factory=list)
+
+    async def caller(self) -> Caller:
+        """Open a connection of a caller."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.ports["front"])
+        caller = Caller(reader, writer)
+        self.callers.append(caller)
+        return caller
+
+    async def readiness(self) -> int:
+        """Ask as the balancer does."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.ports["ready"])
+        caller = Caller(reader, writer)
+        try:
+            return (await caller.ask("/-/readiness")).status
+        finally:
+            writer.close()
+
+    async def until_ready(self) -> None:
+        """Wait until the instance takes callers."""
+        async with asyncio.timeout(5):
+            while not await self._is_ready():
+                await asyncio.sleep(0.02)
+
+    async def _is_ready(self) -> bool:
+        try:
+            return await self.readiness() == 200
+        except ConnectionRefusedError:
+            return False
+
+    def publish(self, server: ShardServer) -> None:
+        """Write the entry of a server."""
+        self.store.write(f"servers/{server.id}", as_value(server.entry()))
+
+    def of(self, service: str) -> list[ShardServer]:
+        """Return the servers of a service."""
+        return [server for server in self.servers_by_id.values() if server.service == service]
+
+
+@asynccontextmanager
+async def deployment(
+    folder: Path,
+    servers_per_service: int = 2,
+    shards: int = SHARDS,
+    slack: int = 1_000,
+    grace_s: float = 6,
+    document: dict[str, Any] | None = None,
+) -> AsyncIterator[Deployment]:
+    """Run a deployment whose configuration is published."""
+    front, ready, store_port = free_ports(3)
+    ports = {"front": front, "ready": ready, "store": store_port}
+    store = StoreStandin()
+    runner = web.AppRunner(application(store), access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", store_port).start()
+    store.write("op/config", as_value(document or configuration(shards=shards)))
+    servers: dict[str, ShardServer] = {}
+    listening = []
+    for service in (*(f"s{index}" for index in range(shards)), "a"):
+        for index in range(servers_per_service):
+            server = ShardServer(f"i-{service}-{index}", service)
+            listening.append(await server.open("127.0.0.1:0"))
+            servers[server.id] = server
+            store.write(f"servers/{server.id}", as_value(server.entry()))
+    path = folder / "node.toml"
+    path.write_text(SETTINGS.format(**ports, slack=slack, grace_s=grace_s))
+    instance = PlatformApplication(path, read_settings(path), metrics_port=0)
+    running = asyncio.create_task(instance.run())
+    made = Deployment(store, servers, instance, running, ports)
+    try:
+        await made.until_ready()
+        yield made
+    finally:
+        instance.shell.stopped.set()
+        await running
+        for caller in made.callers:
+            caller.writer.close()
+        for item in listening:
+            item.close()
+        await runner.cleanup()
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,37 @@
+"""Tests that the platform's names stay in its folder."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+PACKAGE = Path(__file__).parents[2] / "turmerictiller"
+NAMES = re.compile(
+    r"Part-Stamps|Missing-Parts|Server-Stamp|Target-Instance|Deadline-Ms|Not-Executed|Request-Id"
+    r"|kv-(range|watch|key)|targetLatencyMs|maxAttempts|minShare|topK|listenAddrs|warmupLeftMs"
+    r"|op/config|servers/|currentRev|hasMore|budgetSlack|healthPath",
+    re.IGNORECASE,
+)
+
+
+def test_no_module_outside_the_adapter_knows_the_platform() -> None:
+    """Guards against decisions that depend on how one platform spells things."""
+    found = [
+        f"{path.relative_to(PACKAGE)}: {match[0]}"
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if PACKAGE / "platform" not in path.parents
+        for match in NAMES.finditer(path.read_text())
+    ]
+    assert found == []
+
+
+def test_core_imports_no_border() -> None:
+    """Guards against decisions that reach for sockets, and imports that go both ways."""
+    allowed = {
+        "forwarding": ("forwarding", "phases", "errors", "clock", "util"),
+        "transport": ("transport", "forwarding", "phases", "errors", "clock", "util", "metrics"),
+    }
+    for package, names in allowed.items():
+        for path in (PACKAGE / package).glob("*.py"):
+            imported = re.findall(r"from turmerictiller(?:\.(\w+))?[.\w]* import", path.read_text())
+            assert {name for name in imported if name} <= set(names), path.name
--- a/turmerictiller/forwarding/choice.py
+++ b/turmerictiller/forwarding/choice.py
@@ -17,22 +17,29 @@
 SLOWNESS_WEIGHT = 0.3
 TROUBLE_WEIGHT = 0.3
 # Observations lose half of their weight in this time, so that a server that was slow or failing
-# is tried again with work that can be repeated.
-HALF_LIFE_MS = 1_500.0
+# is tried again within seconds. Servers are slow for some hundred milliseconds at a time.
+HALF_LIFE_MS = 600.0
+# What is assumed of a server that was not observed for long: less than the usual time, so that it is
+# preferred to servers that are known to be as fast as usual.
+UNKNOWN_SLOWNESS = 0.75
 TROUBLE_COST = 6.0
 OTHER_DOMAIN_COST = 0.1  # the way to another failure domain and back costs 1.4 ms more
 COLD_COST = 0.6  # a server that has just started works up to 1.6 times as long
-TIE_COST = 0.05
+TIE_COST = 0.1
 # Servers stand still for 150 ms now and then; one that stays silent for longer has another fault.
 STUCK_MS = 250.0
 STUCK_FACTOR = 6.0
 FAILURES_TO_EJECT = 2
 FIRST_EJECTION_MS = 250.0
 LONGEST_EJECTION_MS = 2_000.0
+# Requests that must not be lost wait so much longer before they go to a server that failed.
+PROBATION_MS = 1_000.0
 # Instances among which the connections of a server are shared: today's deployments have 8 or 9.
 SHARING_INSTANCES = 10
 MIN_CONNECTIONS = 2
 
+_NO_RANK = 99
+
 
 def connection_limit(state: State, service: ServiceState) -> int:
     """Return how many connections to one server this instance may use."""
@@ -52,20 +59,25 @@
 ) -> ServerState | None:
     """Return the server with the least expected cost, or ``None`` if none may get the request.
 
-    A request that can be repeated also tests servers whose ejection is over.
+    A request that can be repeated also tests servers whose ejection is over. Servers that fail or
+    are slow are better than none; those that can not be reached are not.
     """
     now = state.now
     limit = connection_limit(state, service)
     stuck_ms = max(STUCK_MS, STUCK_FACTOR * times.typical_ms)
     best: ServerState | None = None
-    best_rank = (9, 0.0)
+    best_rank = (_NO_RANK, 0.0)
     for server in service.servers_by_id.values():
         if server.entry.id in exclude or len(server.outstanding) >= limit:
             continue
         resort = is_last_resort(state, server)
-        if resort is None or now < server.ejected_until:
+        if resort is None:
             continue
         rank = 2 if resort else 0
+        if now < server.ejected_until:
+            if server.unreachable:
+                continue
+            rank += 4
         if server.outstanding:
             oldest_at = next(iter(server.outstanding.values()))
             if now - oldest_at > stuck_ms:
@@ -74,7 +86,8 @@
             if idempotent and not resort and not server.outstanding:
                 _extend_ejection(state, server)
                 return server
-            rank += 1
+            if now < server.ejected_until + PROBATION_MS:
+                rank += 1
         cost = expected_cost(state, server)
         if (rank, cost) < best_rank:
             best, best_rank = server, (rank, cost)
@@ -85,8 +98,9 @@
     """Return the expected time of one more attempt, in multiples of the usual one."""
     entry = server.entry
     load = 1 + len(server.outstanding) / max(1, entry.slots)
-    decay = math.pow(0.5, (state.now - server.observed_at) / HALF_LIFE_MS)
-    cost = (1 + (server.slowness - 1) * decay) * load + TROUBLE_COST * server.trouble * decay
+    decay = _decay(state, server)
+    slowness = UNKNOWN_SLOWNESS + (server.slowness - UNKNOWN_SLOWNESS) * decay
+    cost = slowness * load + TROUBLE_COST * server.trouble * decay
     if entry.domain != state.settings.failure_domain:
         cost += OTHER_DOMAIN_COST
     if entry.cold_ms and state.now - server.added_at < entry.cold_ms:
@@ -94,27 +108,37 @@
     return cost + TIE_COST * state.rng.random()
 
 
+def _decay(state: State, server: ServerState) -> float:
+    return math.pow(0.5, (state.now - server.observed_at) / HALF_LIFE_MS)
+
+
+def _age_observations(state: State, server: ServerState) -> None:
+    """Give earlier observations the weight that their age leaves them."""
+    decay = _decay(state, server)
+    server.slowness = UNKNOWN_SLOWNESS + (server.slowness - UNKNOWN_SLOWNESS) * decay
+    server.trouble *= decay
+    server.observed_at = state.now
+
+
 def observe_answer(state: State, server: ServerState, ms: float, times: RouteTimes) -> None:
     """Take one answered attempt into the estimates of a server."""
     if server.failures >= FAILURES_TO_EJECT:
         state.out.append(LogDecision("server_readmitted", {"server": server.entry.id}, urgent=True))
     server.failures = 0
+    server.unreachable = False
     server.ejected_until = 0.0
     server.backoff_ms = 0.0
+    _age_observations(state, server)
     server.trouble *= 1 - TROUBLE_WEIGHT
     if times.typical_ms > 0:
-        _average_slowness(state, server, ms / times.typical_ms)
+        server.slowness += SLOWNESS_WEIGHT * (ms / times.typical_ms - server.slowness)
 
 
 def observe_no_answer(state: State, server: ServerState, ms: float, times: RouteTimes) -> None:
     """Take the age of an unanswered attempt as a lower bound of the server's answer times."""
+    _age_observations(state, server)
     if times.typical_ms > 0 and ms / times.typical_ms > server.slowness:
-        _average_slowness(state, server, ms / times.typical_ms)
-
-
-def _average_slowness(state: State, server: ServerState, slowness: float) -> None:
-    server.slowness += SLOWNESS_WEIGHT * (slowness - server.slowness)
-    server.observed_at = state.now
+        server.slowness += SLOWNESS_WEIGHT * (ms / times.typical_ms - server.slowness)
 
 
 def observe_not_run(state: State, server: ServerState) -> None:
@@ -122,10 +146,13 @@
     _raise_trouble(state, server)
 
 
-def observe_failure(state: State, server: ServerState, failure: str) -> None:
+def observe_failure(
+    state: State, server: ServerState, failure: str, unreachable: bool = False
+) -> None:
     """Note that an attempt failed, and eject a server after several failures in a row."""
     _raise_trouble(state, server)
     server.failures += 1
+    server.unreachable = unreachable
     if server.failures < FAILURES_TO_EJECT:
         return
     _extend_ejection(state, server)
@@ -136,8 +163,8 @@
 
 
 def _raise_trouble(state: State, server: ServerState) -> None:
+    _age_observations(state, server)
     server.trouble += TROUBLE_WEIGHT * (1 - server.trouble)
-    server.observed_at = state.now
 
 
 def _extend_ejection(state: State, server: ServerState) -> None:
--- a/turmerictiller/forwarding/requests.py
+++ b/turmerictiller/forwarding/requests.py
@@ -48,6 +48,7 @@
 ANSWER_MARGIN_MS = 12.0
 # Share of answer times after which an attempt is hedged. The budget allows a fifth of the requests.
 HEDGE_QUANTILE = 0.85
+LEAST_HEDGE_MS = 5.0  # the way to a server and back takes up to 2 ms
 FIRST_HEDGE_SHARE = 0.4  # of the target, until answer times are known
 NEXT_HEDGE_MS = 15.0  # servers that were busy may have room by then
 MAX_SENDS = 6  # attempts of one part that were refused without having run
@@ -71,7 +72,7 @@
     if not _send_parts(state, request):
         return
     times = route_times(state, admitted.name)
-    hedge_ms = times.hedge_ms or FIRST_HEDGE_SHARE * admitted.target_ms
+    hedge_ms = max(LEAST_HEDGE_MS, times.hedge_ms or FIRST_HEDGE_SHARE * admitted.target_ms)
     if admitted.idempotent:
         state.timers.add(state.now + hedge_ms, TimerKind.HEDGE, event.call_id)
     if admitted.shards:
@@ -190,7 +191,8 @@
         if event.failure is Failure.OTHER_SERVER:
             on_other_server(state, server)
         else:
-            observe_failure(state, server, event.failure.value)
+            unreachable = is_connection_failure(event.failure)
+            observe_failure(state, server, event.failure.value, unreachable)
     request = state.requests_by_call.get(attempt.call_id)
     is_free = is_connection_failure(event.failure)
     _on_lost(state, request, attempt, event.failure.value, event.may_have_run, is_free)
@@ -333,16 +335,14 @@
     request = state.requests_by_call.get(call_id)
     if request is None:
         return
-    attempt_ids = [number for part in request.parts for number in part.attempt_ids]
+    if not request.route.idempotent:
+        _finish(state, request)
+        return
     del state.requests_by_call[call_id]
-    if request.route.idempotent:
-        for attempt_id in attempt_ids:
-            _abort(state, attempt_id)
-
-
-def _abort(state: State, attempt_id: int) -> None:
-    if end_attempt(state, attempt_id) is not None:
-        state.out.append(AbortAttempt(attempt_id))
+    for attempt_id in [number for part in request.parts for number in part.attempt_ids]:
+        if end_attempt(state, attempt_id) is not None:
+            state.out.append(AbortAttempt(attempt_id))
+    _log_end(state, request, "caller_left")
 
 
 def _fail_part(state: State, request: Request, part: Part, reason: str) -> None:
@@ -431,8 +431,9 @@
             server = state.servers_by_id.get(attempt.server_id)
             if server is not None and attempt_id in server.outstanding:
                 observe_no_answer(state, server, state.now - attempt.sent_at, times)
-            if attempt.idempotent:
-                state.timers.add(state.now + ABANDON_MS, TimerKind.ABANDON, attempt_id)
+            # What must not run twice is left to its server, which stops at the deadline.
+            last_at = state.now if attempt.idempotent else max(state.now, request.deadline_at)
+            state.timers.add(last_at + ABANDON_MS, TimerKind.ABANDON, attempt_id)
     _log_end(state, request, outcome)
 
 
@@ -449,12 +450,14 @@
 
 
 def _log_end(state: State, request: Request, outcome: str) -> None:
+    if request.caller_left:
+        outcome = "caller_left"
     state.counters[f"outcomes.{outcome}"] += 1
     fields = {
         "request": request.request_id,
         "route": request.route.name,
         "version": request.version,
-        "outcome": "caller_left" if request.caller_left else outcome,
+        "outcome": outcome,
         "ms": round(state.now - request.arrived_at, 1),
     }
     if request.route.shards:
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -43,7 +43,8 @@
     :param slowness: answer times as multiples of those of the route, averaged.
     :param trouble: share of attempts that failed or were not run, averaged.
     :param failures: failures since the last answer.
-    :param ejected_until: no attempt goes to the server before this time.
+    :param unreachable: the last failure was to open a connection.
+    :param ejected_until: before this time, the server is used only if there is no other.
     :param removed_at: when its entry was removed; ``None`` while there is one.
     :param draining_at: when it was first seen draining.
     """
@@ -55,6 +56,7 @@
     trouble: float = 0.0
     observed_at: Millis = 0.0
     failures: int = 0
+    unreachable: bool = False
     ejected_until: Millis = 0.0
     backoff_ms: float = 0.0
     removed_at: Millis | None = None
--- a/turmerictiller/platform/application.py
+++ b/turmerictiller/platform/application.py
@@ -39,9 +39,10 @@
 class PlatformApplication:
     """One instance on the platform."""
 
-    def __init__(self, path: Path, node: NodeFile) -> None:
+    def __init__(self, path: Path, node: NodeFile, metrics_port: int = METRICS_PORT) -> None:
         self.path = path
         self.node = node
+        self.metrics_port = metrics_port
         self.clock = Clock()
         self.shell = ForwardingShell(
             node.forwarding_settings(secrets.randbits(63)),
@@ -63,7 +64,7 @@
         await self.shell.listener.open(listen.front)
         host = listen.ready.rpartition(":")[0]
         for listener, address in zip(
-            self._operators, (listen.ready, f"{host}:{METRICS_PORT}"), strict=True
+            self._operators, (listen.ready, f"{host}:{self.metrics_port}"), strict=True
         ):
             await listener.open(address)
         self.registry.start()
