Leave out the slowest of several overloaded shards, and adapt limits per server

Ruled out: too few servers elsewhere (the other eight shards answered in the usual time); the budget of repeats (12 to 24 of about 24 used per service). Change: if more shards are expected to miss the target than may be missing, the slowest are not asked; each server's limit falls with answers over three times the usual time and rises slowly; hedges go only to servers that can be in time.

--- /dev/null
+++ b/tests/forwarding/test_overload.py
@@ -0,0 +1,107 @@
+"""Tests of searches whose shards are overloaded, and of the limits per server."""
+
+from __future__ import annotations
+
+from tests.forwarding.driving import NOT_RUN, Driver, configuration, gather_route, single_route
+from turmerictiller.forwarding.effects import AnswerMerged
+from turmerictiller.forwarding.overload import least_parts
+
+SHARDS = 10
+OVERLOADED = ("s3", "s7")
+
+
+def with_two_overloaded_shards() -> Driver:
+    """Return a driver in which the servers of two shards answer after the target."""
+    driver = Driver().start(configuration(gather_route(SHARDS, 0.89)), 1)
+    for _ in range(60):
+        call_id = driver.request()
+        driver.wait(20)
+        late = []
+        for sent in driver.sent(call_id):
+            if sent.server_id.partition("-")[0] in OVERLOADED and driver.last_call > 30:
+                late.append(sent)
+            else:
+                driver.answer(sent)
+        driver.wait(180 if late else 0)
+        for sent in late:
+            driver.answer(sent)
+    return driver
+
+
+def test_one_of_two_overloaded_shards_is_asked() -> None:
+    """Guards against searches that are all late though nine of ten shards would do."""
+    driver = with_two_overloaded_shards()
+    asked = dict.fromkeys(OVERLOADED, 0)
+    both = 0
+    for _ in range(20):
+        call_id = driver.request()
+        services = [sent.server_id.partition("-")[0] for sent in driver.sent(call_id)]
+        both += len(services) == SHARDS
+        for service in OVERLOADED:
+            asked[service] += service in services
+        driver.wait(30)
+        for sent in driver.sent(call_id):
+            if sent.server_id.partition("-")[0] not in OVERLOADED:
+                driver.answer(sent)
+        driver.wait(120)
+        for sent in driver.sent(call_id):
+            if sent.server_id.partition("-")[0] in OVERLOADED:
+                driver.answer(sent)
+        outcome = driver.outcome(call_id)
+        assert isinstance(outcome, AnswerMerged)
+        assert outcome.missing <= 1
+    # Now and then both are asked, to learn whether they are still overloaded.
+    assert both <= 4
+    assert min(asked.values()) >= 4
+
+
+def test_one_overloaded_shard_is_still_asked() -> None:
+    """Guards against coverage that is given away while the rest is enough."""
+    driver = with_two_overloaded_shards()
+    for server in driver.state.services_by_name["s3"].servers_by_id.values():
+        server.slowness = 1.0
+        server.limit = 0.0
+    call_id = driver.request()
+    assert len(driver.sent(call_id)) == SHARDS
+
+
+def test_limit_falls_with_long_answers_and_rises_again() -> None:
+    """Guards against queues that all instances fill up, and against a limit that stays low."""
+    driver = Driver().start(configuration(single_route(), max_connections=100), 1)
+
+    def in_flight() -> int:
+        call_ids = [driver.request("/one/x") for _ in range(20)]
+        sent = [item for call_id in call_ids for item in driver.sent(call_id)[:1]]
+        for item in sent:
+            driver.answer(item)
+        return len(sent)
+
+    def serve(ms: float, number: int) -> None:
+        for _ in range(number):
+            call_id = driver.request("/one/x")
+            driver.wait(ms)
+            for sent in driver.sent(call_id):
+                driver.answer(sent)
+
+    serve(20, 40)
+    assert in_flight() == 10
+    serve(100, 10)
+    assert in_flight() <= 3
+    serve(20, 60)
+    assert in_flight() >= 9
+
+
+def test_server_that_turns_requests_away_gets_fewer() -> None:
+    """Guards against attempts that a full server rejects again and again."""
+    driver = Driver().start(configuration(single_route(), max_connections=100), 1)
+    for _ in range(6):
+        for sent in driver.sent(driver.request("/one/x")):
+            driver.answer(sent, NOT_RUN)
+    call_ids = [driver.request("/one/x") for _ in range(20)]
+    assert sum(len(driver.sent(call_id)) for call_id in call_ids) <= 2
+
+
+def test_least_parts_is_the_smallest_number_with_the_share() -> None:
+    """Guards against rounding that answers below the least share or refuses above it."""
+    assert [least_parts(share, 10) for share in (0.89, 0.75, 0.9, 1.0, 0.0)] == [9, 8, 9, 10, 1]
+    assert least_parts(0.95, 36) == 35
--- a/tests/forwarding/test_requests.py
+++ b/tests/forwarding/test_requests.py
@@ -13,7 +13,6 @@
 from turmerictiller.errors import Ran, RefusalType
 from turmerictiller.forwarding.effects import AbortAttempt, AnswerMerged, PassAnswer, Refuse
 from turmerictiller.forwarding.events import CallerLeft, Failure
-from turmerictiller.forwarding.requests import least_parts
 
 
 def searching(shards: int = 4, servers: int = 3, **changes: float) -> Driver:
@@ -277,9 +276,3 @@
     assert [effect.attempt_id for effect in driver.of(AbortAttempt)] == [
         driver.sent(call_id)[0].attempt_id
     ]
-
-
-def test_least_parts_is_the_smallest_number_with_the_share() -> None:
-    """Guards against rounding that answers below the least share or refuses above it."""
-    assert [least_parts(share, 10) for share in (0.89, 0.75, 0.9, 1.0, 0.0)] == [9, 8, 9, 10, 1]
-    assert least_parts(0.95, 36) == 35
--- a/turmerictiller/forwarding/choice.py
+++ b/turmerictiller/forwarding/choice.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller.forwarding.effects import LogDecision
+from turmerictiller.forwarding.limits import connection_limit, cut, has_room, raise_or_cut
 from turmerictiller.forwarding.servers import is_last_resort
+from turmerictiller.forwarding.state import service_state
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -34,22 +36,9 @@
 LONGEST_EJECTION_MS = 2_000.0
 # Requests that must not be lost wait so much longer before they go to a server that failed.
 PROBATION_MS = 1_000.0
-# Instances among which the connections of a server are shared: today's deployments have 8 or 9.
-SHARING_INSTANCES = 10
-MIN_CONNECTIONS = 2
-
 _NO_RANK = 99
 
 
-def connection_limit(state: State, service: ServiceState) -> int:
-    """Return how many connections to one server this instance may use."""
-    configuration = state.configuration
-    known = configuration.services_by_name.get(service.name) if configuration else None
-    if known is None:
-        return MIN_CONNECTIONS
-    return max(MIN_CONNECTIONS, round(known.max_connections / SHARING_INSTANCES))
-
-
 def choose_server(
     state: State,
     service: ServiceState,
@@ -68,7 +57,7 @@
     best: ServerState | None = None
     best_rank = (_NO_RANK, 0.0)
     for server in service.servers_by_id.values():
-        if server.entry.id in exclude or len(server.outstanding) >= limit:
+        if server.entry.id in exclude or not has_room(server, limit):
             continue
         resort = is_last_resort(state, server)
         if resort is None:
@@ -108,6 +97,11 @@
     return cost + TIE_COST * state.rng.random()
 
 
+def expected_ms(state: State, server: ServerState, times: RouteTimes) -> float:
+    """Return the expected time of one more attempt; 0 while no times are known."""
+    return expected_cost(state, server) * times.typical_ms
+
+
 def _decay(state: State, server: ServerState) -> float:
     return math.pow(0.5, (state.now - server.observed_at) / HALF_LIFE_MS)
 
@@ -128,6 +122,7 @@
     server.unreachable = False
     server.ejected_until = 0.0
     server.backoff_ms = 0.0
+    raise_or_cut(state, server, service_state(state, server.entry.service), ms, times)
     _age_observations(state, server)
     server.trouble *= 1 - TROUBLE_WEIGHT
     if times.typical_ms > 0:
@@ -143,6 +138,7 @@
 
 def observe_not_run(state: State, server: ServerState) -> None:
     """Note that a server turned an attempt away."""
+    cut(state, server, connection_limit(state, service_state(state, server.entry.service)))
     _raise_trouble(state, server)
 
 
--- a/turmerictiller/forwarding/requests.py
+++ b/turmerictiller/forwarding/requests.py
@@ -13,6 +13,7 @@
     start_attempt,
 )
 from turmerictiller.forwarding.choice import (
+    expected_ms,
     is_connection_failure,
     observe_answer,
     observe_failure,
@@ -28,6 +29,7 @@
 )
 from turmerictiller.forwarding.events import Failure
 from turmerictiller.forwarding.extra_attempts import take_extra
+from turmerictiller.forwarding.overload import ANSWER_MARGIN_MS, least_parts, parts_to_leave_out
 from turmerictiller.forwarding.records import merge_greatest
 from turmerictiller.forwarding.servers import on_other_server
 from turmerictiller.forwarding.state import Part, Request, TimerKind, route_times, service_state
@@ -42,10 +44,8 @@
         UpstreamAnswer,
     )
     from turmerictiller.forwarding.model import Route
-    from turmerictiller.forwarding.state import Attempt, State
+    from turmerictiller.forwarding.state import Attempt, ServerState, State
 
-# Time kept for merging and for the way back to the caller, whose clock began at its sending.
-ANSWER_MARGIN_MS = 12.0
 # Share of answer times after which an attempt is hedged. The budget allows a fifth of the requests.
 HEDGE_QUANTILE = 0.85
 LEAST_HEDGE_MS = 5.0  # the way to a server and back takes up to 2 ms
@@ -83,17 +83,20 @@
 
 def _send_parts(state: State, request: Request) -> bool:
     """Send all parts that a server can take, or refuse if they are too few; return which."""
-    chosen = []
+    server_by_part: dict[int, ServerState] = {}
     for index, part in enumerate(request.parts):
         service_state(state, part.service).first_attempts.add(state.now)
         server = choose_for_part(state, request, index)
         if server is None:
             _fail_part(state, request, part, "no_server")
         else:
-            chosen.append((index, server))
+            server_by_part[index] = server
+    for index in parts_to_leave_out(state, request, server_by_part):
+        del server_by_part[index]
+        _fail_part(state, request, request.parts[index], "overloaded")
     if _settle(state, request):
         return False
-    for index, server in chosen:
+    for index, server in server_by_part.items():
         send_to(state, request, index, server, is_extra=False)
     return True
 
@@ -283,11 +286,14 @@
 def _hedge(state: State, request: Request, index: int) -> bool:
     part = request.parts[index]
     service = service_state(state, part.service)
-    if state.now - service.shed_at < SHED_QUIET_MS or not take_extra(state, service):
+    if state.now - service.shed_at < SHED_QUIET_MS:
         return False
-    if not start_attempt(state, request, index, is_extra=True):
-        service.extra_attempts.add(state.now, -1)
+    server = choose_for_part(state, request, index)
+    if server is None or not _is_in_time(state, request, server):
+        return False
+    if not take_extra(state, service):
         return False
+    send_to(state, request, index, server, is_extra=True)
     request.is_unusual = True
     state.counters["attempts.hedged"] += 1
     fields = {
@@ -300,6 +306,14 @@
     return True
 
 
+def _is_in_time(state: State, request: Request, server: ServerState) -> bool:
+    """Return whether a server can be expected to answer before the target, if that is not over."""
+    if request.target_passed:
+        return True
+    left_ms = request.arrived_at + request.route.target_ms - ANSWER_MARGIN_MS - state.now
+    return expected_ms(state, server, route_times(state, request.route.name)) < left_ms
+
+
 def on_target_due(state: State, call_id: int) -> None:
     """Answer with the parts that are in if they are enough, because later is of little use."""
     request = state.requests_by_call.get(call_id)
@@ -375,14 +389,6 @@
     return False
 
 
-def least_parts(min_share: float, total: int) -> int:
-    """Return the least number of parts whose share of the total is not below the least share."""
-    least = max(1, int(min_share * total))
-    while least / total < min_share:
-        least += 1
-    return least
-
-
 def _failure_of(state: State, request: Request) -> Refusal:
     """Return the refusal of a request whose parts failed, saying truly whether it may have run."""
     if not any(part.runs for part in request.parts):
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -45,6 +45,8 @@
     :param failures: failures since the last answer.
     :param unreachable: the last failure was to open a connection.
     :param ejected_until: before this time, the server is used only if there is no other.
+    :param limit: attempts that may be unanswered at once; 0 until the first attempt.
+    :param limit_cut_at: when the limit was last lowered.
     :param removed_at: when its entry was removed; ``None`` while there is one.
     :param draining_at: when it was first seen draining.
     """
@@ -59,6 +61,8 @@
     unreachable: bool = False
     ejected_until: Millis = 0.0
     backoff_ms: float = 0.0
+    limit: float = 0.0
+    limit_cut_at: Millis = float("-inf")
     removed_at: Millis | None = None
     draining_at: Millis | None = None
 
