Let parts wait a fifth of the target for room that can be expected

Change: parts wait for room, the most urgent first, only if the answers that are due make it likely.

--- a/turmerictiller/forwarding/attempts.py
+++ b/turmerictiller/forwarding/attempts.py
@@ -81,6 +81,7 @@
     if attempt is None:
         state.counters["attempts.late"] += 1
         return None
+    state.services_with_room.append(service_state(state, attempt.service))
     server = state.servers_by_id.get(attempt.server_id)
     if server is None or server.outstanding.pop(attempt_id, None) is None:
         return attempt, None
--- a/turmerictiller/forwarding/choice.py
+++ b/turmerictiller/forwarding/choice.py
@@ -83,13 +83,18 @@
     return best
 
 
+def is_usable(state: State, server: ServerState) -> bool:
+    """Return whether a server may get requests when it has room."""
+    is_out = state.now < server.ejected_until and server.unreachable
+    return not is_out and is_last_resort(state, server) is not None
+
+
 def expected_cost(state: State, server: ServerState) -> float:
     """Return the expected time of one more attempt, in multiples of the usual one."""
     entry = server.entry
     load = 1 + len(server.outstanding) / max(1, entry.slots)
-    decay = _decay(state, server)
-    slowness = UNKNOWN_SLOWNESS + (server.slowness - UNKNOWN_SLOWNESS) * decay
-    cost = slowness * load + TROUBLE_COST * server.trouble * decay
+    trouble = server.trouble * _decay(state, server)
+    cost = current_slowness(state, server) * load + TROUBLE_COST * trouble
     if entry.domain != state.settings.failure_domain:
         cost += OTHER_DOMAIN_COST
     if entry.cold_ms and state.now - server.added_at < entry.cold_ms:
@@ -102,15 +107,19 @@
     return expected_cost(state, server) * times.typical_ms
 
 
+def current_slowness(state: State, server: ServerState) -> float:
+    """Return the answer times of a server as multiples of the usual ones, by age of what is known."""
+    return UNKNOWN_SLOWNESS + (server.slowness - UNKNOWN_SLOWNESS) * _decay(state, server)
+
+
 def _decay(state: State, server: ServerState) -> float:
     return math.pow(0.5, (state.now - server.observed_at) / HALF_LIFE_MS)
 
 
 def _age_observations(state: State, server: ServerState) -> None:
     """Give earlier observations the weight that their age leaves them."""
-    decay = _decay(state, server)
-    server.slowness = UNKNOWN_SLOWNESS + (server.slowness - UNKNOWN_SLOWNESS) * decay
-    server.trouble *= decay
+    server.slowness = current_slowness(state, server)
+    server.trouble *= _decay(state, server)
     server.observed_at = state.now
 
 
--- a/turmerictiller/forwarding/extra_attempts.py
+++ b/turmerictiller/forwarding/extra_attempts.py
@@ -64,3 +64,8 @@
         return False
     service.extra_attempts.add(state.now)
     return True
+
+
+def return_extra(state: State, service: ServiceState) -> None:
+    """Take back the charge of an attempt that was not sent."""
+    service.extra_attempts.add(state.now, -1)
--- a/turmerictiller/forwarding/overload.py
+++ b/turmerictiller/forwarding/overload.py
@@ -48,7 +48,8 @@
         if (ms := expected_ms(state, server, times)) > time_ms
     }
     total = len(request.parts)
-    may_be_missing = len(server_by_part) - least_parts(route.min_share, total)
+    waiting = sum(part.is_waiting for part in request.parts)
+    may_be_missing = len(server_by_part) + waiting - least_parts(route.min_share, total)
     if may_be_missing <= 0 or len(late_ms_by_part) <= may_be_missing:
         return []
     slowest = sorted(late_ms_by_part, key=lambda index: late_ms_by_part[index], reverse=True)
--- a/turmerictiller/forwarding/reducer.py
+++ b/turmerictiller/forwarding/reducer.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.forwarding import configuration, requests, servers, shutdown
+from turmerictiller.forwarding import configuration, requests, servers, shutdown, waiting
 from turmerictiller.forwarding.effects import WakeAt
 from turmerictiller.forwarding.events import (
     AttemptAnswered,
@@ -50,6 +50,7 @@
     TimerKind.DEADLINE: requests.on_deadline_due,
     TimerKind.ABANDON: requests.on_abandon_due,
     TimerKind.CALLER_LEFT: requests.on_caller_left_due,
+    TimerKind.WAIT: requests.on_wait_over,
     TimerKind.SERVERS: servers.on_forget_due,
     TimerKind.SHUTDOWN: shutdown.on_shutdown_timer,
 }
@@ -62,6 +63,8 @@
     while (due := state.timers.pop_due(state.now)) is not None:
         kind, key = due
         _TIMER_HANDLERS[kind](state, key)
+    if state.services_with_room:
+        waiting.send_waiting(state)
     shutdown.observe_readiness(state)
     _set_wake(state)
     out, state.out = state.out, []
--- a/turmerictiller/forwarding/requests.py
+++ b/turmerictiller/forwarding/requests.py
@@ -28,11 +28,12 @@
     Refuse,
 )
 from turmerictiller.forwarding.events import Failure
-from turmerictiller.forwarding.extra_attempts import take_extra
+from turmerictiller.forwarding.extra_attempts import return_extra, take_extra
 from turmerictiller.forwarding.overload import ANSWER_MARGIN_MS, least_parts, parts_to_leave_out
 from turmerictiller.forwarding.records import merge_greatest
 from turmerictiller.forwarding.servers import on_other_server
 from turmerictiller.forwarding.state import Part, Request, TimerKind, route_times, service_state
+from turmerictiller.forwarding.waiting import wait_for_room
 from turmerictiller.forwarding.weights import next_service
 
 if TYPE_CHECKING:
@@ -87,10 +88,10 @@
     for index, part in enumerate(request.parts):
         service_state(state, part.service).first_attempts.add(state.now)
         server = choose_for_part(state, request, index)
-        if server is None:
-            _fail_part(state, request, part, "no_server")
-        else:
+        if server is not None:
             server_by_part[index] = server
+        elif not wait_for_room(state, request, index):
+            _fail_part(state, request, part, "no_server")
     for index in parts_to_leave_out(state, request, server_by_part):
         del server_by_part[index]
         _fail_part(state, request, request.parts[index], "overloaded")
@@ -260,7 +261,11 @@
     if not is_free and not take_extra(state, service):
         state.counters["extra.exhausted"] += 1
         return False
-    if not start_attempt(state, request, index, is_extra=True):
+    if not (
+        start_attempt(state, request, index, is_extra=True) or wait_for_room(state, request, index)
+    ):
+        if not is_free:
+            return_extra(state, service)
         return False
     state.counters["attempts.sent_again"] += 1
     return True
@@ -314,6 +319,18 @@
     return expected_ms(state, server, route_times(state, request.route.name)) < left_ms
 
 
+def on_wait_over(state: State, call_id: int) -> None:
+    """Give up the parts that have waited for room in vain."""
+    request = state.requests_by_call.get(call_id)
+    if request is None:
+        return
+    for part in request.parts:
+        if part.is_waiting:
+            part.is_waiting = False
+            _fail_part(state, request, part, "no_room")
+    _settle(state, request)
+
+
 def on_target_due(state: State, call_id: int) -> None:
     """Answer with the parts that are in if they are enough, because later is of little use."""
     request = state.requests_by_call.get(call_id)
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -31,6 +31,7 @@
     DEADLINE = "deadline"
     ABANDON = "abandon"
     CALLER_LEFT = "caller_left"
+    WAIT = "wait"
     SERVERS = "servers"
     SHUTDOWN = "shutdown"
 
@@ -69,13 +70,17 @@
 
 @dataclass(slots=True)
 class ServiceState:
-    """A service, its servers and its budget."""
+    """A service, its servers and its budget.
+
+    :param waiting: priorities of the parts that wait for room, by call and part.
+    """
 
     name: str
     first_attempts: WindowCount
     extra_attempts: WindowCount
     servers_by_id: dict[str, ServerState] = field(default_factory=dict)
     shed_at: Millis = float("-inf")
+    waiting: dict[tuple[int, int], int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -117,6 +122,7 @@
     sends: int = 0
     answer: UpstreamAnswer | None = None
     failed: str = ""
+    is_waiting: bool = False
 
 
 @dataclass(slots=True)
@@ -172,6 +178,7 @@
     services_by_name: dict[str, ServiceState] = field(default_factory=dict)
     servers_by_id: dict[str, ServerState] = field(default_factory=dict)
     removed_revision_by_id: dict[str, int] = field(default_factory=dict)
+    services_with_room: list[ServiceState] = field(default_factory=list)
     times_by_route: dict[str, RouteTimes] = field(default_factory=dict)
     requests_by_call: dict[int, Request] = field(default_factory=dict)
     attempts_by_id: dict[int, Attempt] = field(default_factory=dict)
--- /dev/null
+++ b/turmerictiller/forwarding/waiting.py
@@ -0,0 +1,78 @@
+"""Parts that wait for room at the servers of their service.
+
+The load that this answers: for some ten milliseconds more requests come than the limits of the
+servers admit. Most of these parts find room long before their target, so refusing them at once would
+only send the callers round again. Nothing waits longer than a fifth of its target.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.attempts import choose_for_part, send_to
+from turmerictiller.forwarding.choice import current_slowness, is_usable
+from turmerictiller.forwarding.state import TimerKind, route_times, service_state
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.state import Request, ServiceState, State
+
+# A refusal after a quarter of the target comes too late for the caller's next attempt.
+WAIT_SHARE = 0.2
+MAX_WAITING = 16  # per service; more would not find room in that time
+
+
+def wait_for_room(state: State, request: Request, index: int) -> bool:
+    """Let a part wait if all that its service lacks is room; return whether it waits."""
+    part = request.parts[index]
+    service = service_state(state, part.service)
+    wait_until = request.arrived_at + WAIT_SHARE * request.route.target_ms
+    if len(service.waiting) >= MAX_WAITING or state.now >= wait_until:
+        return False
+    if state.now + _room_in_ms(state, request, index) > wait_until:
+        return False
+    service.waiting[request.call_id, index] = request.route.priority
+    part.is_waiting = True
+    request.is_unusual = True
+    state.counters["parts.waited"] += 1
+    state.timers.add(wait_until, TimerKind.WAIT, request.call_id)
+    return True
+
+
+def _room_in_ms(state: State, request: Request, index: int) -> float:
+    """Return when a part may expect room; infinity where no server could take it."""
+    part = request.parts[index]
+    service = service_state(state, part.service)
+    typical_ms = route_times(state, request.route.name).typical_ms
+    waits_ms = []
+    for server in service.servers_by_id.values():
+        if not server.outstanding or server.entry.id in part.tried or not is_usable(state, server):
+            continue
+        answer_ms = current_slowness(state, server) * typical_ms
+        oldest_ms = state.now - next(iter(server.outstanding.values()))
+        ahead = len(service.waiting) / len(service.servers_by_id)
+        waits_ms.append(max(0.0, answer_ms - oldest_ms) + ahead * answer_ms)
+    return min(waits_ms, default=math.inf)
+
+
+def send_waiting(state: State) -> None:
+    """Send the parts for which there is room now, the most urgent and oldest first."""
+    while state.services_with_room:
+        service = state.services_with_room.pop()
+        if service.waiting:
+            _send_of_service(state, service)
+
+
+def _send_of_service(state: State, service: ServiceState) -> None:
+    for key in sorted(service.waiting, key=lambda key: (service.waiting[key], key)):
+        call_id, index = key
+        request = state.requests_by_call.get(call_id)
+        if request is None or request.caller_left or not request.parts[index].is_waiting:
+            del service.waiting[key]
+            continue
+        server = choose_for_part(state, request, index)
+        if server is None:
+            return
+        del service.waiting[key]
+        request.parts[index].is_waiting = False
+        send_to(state, request, index, server, is_extra=False)
