Read the platform's documents with msgspec, and pause longer while changes keep coming

Ruled out: leaving out transitions, hdrhistogram or httptools (under 0.6 MB each); stale reads for the watch. Change: msgspec structs validate the store's values and the settings file, with every mistake named; series of times are a module of their own; the pause after a watch with changes doubles up to one second. The ports of the tests lie below the range that the system gives away: one run failed to bind a port that another listener had just taken.

--- a/bench/record_cost.py
+++ b/bench/record_cost.py
@@ -13,9 +13,9 @@
 from tests.reducing import Harness
 from turmerictiller import effects
 from turmerictiller.codec import dumps
-from turmerictiller.metrics import DIGITS, MAX_UNITS, Series, record
 from turmerictiller.reducer import reduce
 from turmerictiller.trace import Trace, reduce_recorded
+from turmerictiller.util.series import DIGITS, MAX_UNITS, Series, record
 
 if TYPE_CHECKING:
     from turmerictiller.effects import Effect
--- a/tests/platform/serving.py
+++ b/tests/platform/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -43,14 +44,22 @@
 
 
 def free_ports(number: int) -> list[int]:
-    """Return ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(number)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return ports that nobody listens on now.
+
+    They are below the range from which the system takes ports, so that no connection or stand-in
+    gets one of them before the instance does.
+    """
+    found: list[int] = []
+    while len(found) < number:
+        port = random.randrange(20_000, 30_000)
+        with socket.socket() as item:
+            try:
+                item.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 def configuration(version: int = 1, shards: int = SHARDS, **changes: Any) -> dict[str, Any]:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -17,10 +17,10 @@
     _series,
     observe_before,
     observe_effects,
-    record,
 )
 from turmerictiller.trace import Trace
 from turmerictiller.util.prometheus import escape
+from turmerictiller.util.series import record
 
 LABEL = r'[a-z_]+="(?:[^"\\\n]|\\["\\n])*"'
 SAMPLE = re.compile(rf"turmerictiller_[a-z_]+(\{{{LABEL}(,{LABEL})*\}})? [-+.e0-9]+")
--- a/turmerictiller/metrics.py
+++ b/turmerictiller/metrics.py
@@ -10,10 +10,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
-
 from turmerictiller.effects import ReplyRefusal, ReplySearch
 from turmerictiller.events import AttemptAnswered, CallerGone, RunAnswered, SearchArrived
+from turmerictiller.util.series import Series, new_series, record
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -25,34 +24,9 @@
     from turmerictiller.state import State
 
 WINDOW_MS = 60_000.0
-UNITS_PER_MS = 100
-MAX_UNITS = 60_000 * UNITS_PER_MS  # longer times count as 60 s
-DIGITS = 2
-QUANTILES = (0.5, 0.9, 0.99, 0.999)
 OTHER = "other"  # series that takes the names for which there is no room
 
 
-@dataclass
-class Series:
-    """Times of one kind under one name, in milliseconds."""
-
-    before: HdrHistogram
-    current: HdrHistogram
-    count: int = 0
-    sum_ms: float = 0.0
-
-    def quantiles_ms(self) -> list[float]:
-        """Return the quantiles of the last one to two windows; empty without values."""
-        both = _histogram()
-        both.add(self.before)
-        both.add(self.current)
-        if both.get_total_count() == 0:
-            return []
-        percents = [quantile * 100 for quantile in QUANTILES]
-        values = both.get_percentile_to_value_dict(percents)
-        return [values[percent] / UNITS_PER_MS for percent in percents]
-
-
 @dataclass
 class Metrics:
     """All histograms of a process.
@@ -97,18 +71,6 @@
             metrics.front_by_call.pop(effect.call_id, None)
 
 
-def new_series() -> Series:
-    """Return a series without values."""
-    return Series(_histogram(), _histogram())
-
-
-def record(series: Series, ms: float) -> None:
-    """Add one time to a series."""
-    series.count += 1
-    series.sum_ms += ms
-    series.current.record_value(min(max(int(ms * UNITS_PER_MS), 1), MAX_UNITS))
-
-
 def _series(metrics: Metrics, by_name: dict[str, Series], name: str) -> Series:
     """Return the series of a name, or the common one when all places are taken."""
     series = by_name.get(name)
@@ -131,7 +93,3 @@
                 series.before, series.current = series.current, series.before
             else:
                 series.current.reset()
-
-
-def _histogram() -> HdrHistogram:
-    return HdrHistogram(1, MAX_UNITS, DIGITS)
--- a/turmerictiller/platform/documents.py
+++ b/turmerictiller/platform/documents.py
@@ -5,15 +5,8 @@
 import ipaddress
 from typing import Annotated, Literal
 
-from pydantic import (
-    AfterValidator,
-    BaseModel,
-    ConfigDict,
-    Field,
-    StrictInt,
-    StrictStr,
-    ValidationError,
-)
+import msgspec
+from msgspec import Meta, Struct, field
 
 from turmerictiller.errors import TurmericError
 from turmerictiller.forwarding.model import (
@@ -24,36 +17,36 @@
     Service,
 )
 
-NON_IDEMPOTENT = "non_idempotent"
 IDEMPOTENT = "idempotent"
 
+Text = Annotated[str, Meta(min_length=1)]
+Count = Annotated[int, Meta(ge=1)]
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
 
 class DocumentError(TurmericError):
     """A value of the store that can not be used."""
 
 
-def _check_address(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    ipaddress.IPv4Address(host)
-    if not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise ValueError("not of the form IP:PORT")
-    return value
-
-
-class _Model(BaseModel):
-    model_config = ConfigDict(frozen=True, extra="ignore")
-
-
-class _ServerValue(_Model):
-    service: StrictStr = Field(min_length=1)
-    address: Annotated[StrictStr, AfterValidator(_check_address)]
-    zone: StrictStr
-    slots: StrictInt = Field(ge=1)
+class _ServerValue(Struct, frozen=True):
+    service: Text
+    address: Text
+    zone: str
+    slots: Count
     state: Literal["ready", "draining"]
     # How much longer the server stays slow after its start; it does not say that it is warming up.
-    cold_ms: float = Field(0.0, alias="warmupLeftMs", ge=0)
+    cold_ms: NotNegative = field(default=0.0, name="warmupLeftMs")
     # The Unix time of the start; here only a name of the incarnation.
-    born: StrictInt = 0
+    born: int = 0
+
+
+def _check_address(value: str) -> None:
+    host, _, port = value.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise ValueError(f"{value!r} is not of the form IP:PORT")
 
 
 def read_server(server_id: str, revision: int, value: bytes) -> ServerEntry:
@@ -62,8 +55,9 @@
     :raises DocumentError: if the value is none, as other writers may leave it.
     """
     try:
-        entry = _ServerValue.model_validate_json(value)
-    except (ValidationError, ValueError) as error:
+        entry = msgspec.json.decode(value, type=_ServerValue)
+        _check_address(entry.address)
+    except (msgspec.DecodeError, ValueError) as error:
         raise DocumentError(str(error)[:200]) from None
     return ServerEntry(
         server_id,
@@ -78,45 +72,45 @@
     )
 
 
-class _WeightedService(_Model):
-    service: StrictStr
-    weight: float = Field(ge=0)
+class _WeightedService(Struct, frozen=True):
+    service: Text
+    weight: NotNegative
 
 
-class _RouteValue(_Model):
-    name: StrictStr
-    host: StrictStr
-    prefix: StrictStr
-    kind: StrictStr
-    timeout_ms: float = Field(alias="timeoutMs", gt=0)
-    target_ms: float = Field(alias="targetLatencyMs", gt=0)
+class _RouteValue(Struct, frozen=True):
+    name: Text
+    host: Text
+    prefix: Text
+    kind: str
+    timeout_ms: Positive = field(name="timeoutMs")
+    target_ms: Positive = field(name="targetLatencyMs")
     # The number of servers on which one request may run, not of sendings.
-    max_servers: int = Field(1, alias="maxAttempts", ge=1)
+    max_servers: Count = field(default=1, name="maxAttempts")
     priority: int = 0
-    service: StrictStr | None = None
+    service: str | None = None
     split: tuple[_WeightedService, ...] = ()
-    gather: tuple[StrictStr, ...] = ()
-    top: int = Field(0, alias="topK", ge=0)
-    min_share: float = Field(1.0, alias="minShare", ge=0, le=1)
+    gather: tuple[Text, ...] = ()
+    top: Annotated[int, Meta(ge=0)] = field(default=0, name="topK")
+    min_share: Share = field(default=1.0, name="minShare")
 
 
-class _ServiceValue(_Model):
-    name: StrictStr
-    max_connections: int = Field(8, alias="maxConns", ge=1)
+class _ServiceValue(Struct, frozen=True):
+    name: Text
+    max_connections: Count = field(default=8, name="maxConns")
 
 
-class _LimitsValue(_Model):
-    max_header_bytes: int = Field(16_384, alias="maxHeaderBytes", ge=1)
-    max_body_bytes: int = Field(262_144, alias="maxBodyBytes", ge=0)
-    header_timeout_ms: float = Field(3_000, alias="headerTimeoutMs", gt=0)
-    idle_timeout_ms: float = Field(15_000, alias="idleTimeoutMs", gt=0)
+class _LimitsValue(Struct, frozen=True):
+    max_header_bytes: Count = field(default=16_384, name="maxHeaderBytes")
+    max_body_bytes: Count = field(default=262_144, name="maxBodyBytes")
+    header_timeout_ms: Positive = field(default=3_000.0, name="headerTimeoutMs")
+    idle_timeout_ms: Positive = field(default=15_000.0, name="idleTimeoutMs")
 
 
-class _ConfigurationValue(_Model):
-    version: StrictInt
+class _ConfigurationValue(Struct, frozen=True):
+    version: int
     routes: tuple[_RouteValue, ...]
     services: tuple[_ServiceValue, ...] = ()
-    limits: _LimitsValue | None = None
+    limits: _LimitsValue = _LimitsValue()
 
 
 def read_configuration(value: bytes) -> Configuration:
@@ -125,14 +119,14 @@
     :raises DocumentError: if it can not be read.
     """
     try:
-        document = _ConfigurationValue.model_validate_json(value)
-    except (ValidationError, ValueError) as error:
+        document = msgspec.json.decode(value, type=_ConfigurationValue)
+    except (msgspec.DecodeError, ValueError) as error:
         raise DocumentError(str(error)[:500]) from None
     routes_by_host: dict[str, dict[str, Route]] = {}
     for item in document.routes:
         routes_by_host.setdefault(item.host.lower(), {})[item.prefix] = _route(item)
     services = {item.name: Service(item.name, item.max_connections) for item in document.services}
-    limits = CallerLimits(**document.limits.model_dump()) if document.limits else CallerLimits()
+    limits = CallerLimits(**msgspec.structs.asdict(document.limits))
     return Configuration(document.version, routes_by_host, services, limits)
 
 
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -29,8 +29,12 @@
 CONFIGURATION = "op/config"
 # A watch tells every change or fails, so this only limits how long a fault of the store could last.
 LIST_MS = 30_000.0
-# Calls are priced, and servers that start together would wake a watch one by one.
+# Calls are priced, and servers that start together would wake a watch one by one. So the pause after a
+# watch that told changes grows while changes keep coming. Its end leaves most of the time that the
+# platform allows for acting on a change, three seconds and more.
 WATCH_GAP_MS = 250.0
+LONGEST_WATCH_GAP_MS = 1_000.0
+QUIET_WATCH_MS = 1_000.0  # a watch that waited so long ends a series of changes
 # The store holds the operator's and the servers' keys and no others.
 EVERYTHING = ""
 FIRST_RETRY_MS = 100.0
@@ -76,12 +80,16 @@
 
     async def _watch(self, revision: int) -> None:
         listed_at = self.clock.now_ms()
-        while self.clock.now_ms() - listed_at < LIST_MS:
+        gap_ms = WATCH_GAP_MS
+        while (asked_at := self.clock.now_ms()) - listed_at < LIST_MS:
             revision, items = await self.store.watch(EVERYTHING, revision)
             for item in items:
                 self._on_change(item)
+            if self.clock.now_ms() - asked_at >= QUIET_WATCH_MS:
+                gap_ms = WATCH_GAP_MS
             if items:
-                await asyncio.sleep(WATCH_GAP_MS / 1000)
+                await asyncio.sleep(gap_ms / 1000)
+                gap_ms = min(2 * gap_ms, LONGEST_WATCH_GAP_MS)
 
     def _on_list(self, revision: int, items: list[Item]) -> None:
         entries: list[ServerEntry] = []
--- a/turmerictiller/platform/settings.py
+++ b/turmerictiller/platform/settings.py
@@ -3,57 +3,64 @@
 from __future__ import annotations
 
 import tomllib
-from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
+from msgspec import Meta, Struct, field
 
 from turmerictiller.errors import ConfigError
 from turmerictiller.forwarding.settings import ForwardingSettings
 
-SETTINGS_VARIABLE = "TURMERICTILLER_NODE_FILE"
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
 
+SETTINGS_VARIABLE = "TURMERICTILLER_NODE_FILE"
 
-class _Model(BaseModel):
-    # The platform may add fields at any time.
-    model_config = ConfigDict(frozen=True, extra="ignore")
+Text = Annotated[str, Meta(min_length=1)]
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
 
 
-class ListenAddresses(_Model):
+# Fields that are not named here are ignored: the platform may add some at any time.
+class ListenAddresses(Struct, frozen=True):
     """``IP:PORT`` of the listeners; ``front`` is the one for callers."""
 
-    front: str
-    ready: str
+    front: Text
+    ready: Text
 
 
-class Limits(_Model):
-    max_descriptors: int = Field(alias="maxFds", ge=256)
+class Limits(Struct, frozen=True):
+    """Limits of the machine."""
 
+    max_descriptors: Annotated[int, Meta(ge=256)] = field(name="maxFds")
 
-class Bounds(_Model):
-    """Bounds that the platform judges by; extra attempts are its ``budget``."""
 
-    drain_ms: float = Field(alias="drainMs", gt=0)
-    grace_s: float = Field(alias="graceS", gt=0)
-    extra_ratio: float = Field(alias="budgetRatio", ge=0)
-    extra_window_s: float = Field(alias="budgetWindowS", gt=0)
-    extra_slack: float = Field(alias="budgetSlack", ge=0)
+class Bounds(Struct, frozen=True):
+    """Bounds that the platform judges by; its ``budget`` is that of extra attempts."""
 
+    drain_ms: Positive = field(name="drainMs")
+    grace_s: Positive = field(name="graceS")
+    extra_ratio: NotNegative = field(name="budgetRatio")
+    extra_window_s: Positive = field(name="budgetWindowS")
+    extra_slack: NotNegative = field(name="budgetSlack")
 
-class Store(_Model):
+
+class Store(Struct, frozen=True):
     """Where the platform's metadata store listens."""
 
-    address: str
+    address: Text
 
 
-class NodeFile(_Model):
+class NodeFile(Struct, frozen=True):
     """The fields of the settings file that this adapter uses."""
 
-    instance_id: str = Field(alias="node", min_length=1)
-    failure_domain: str = Field(alias="zone", min_length=1)
-    listen: ListenAddresses = Field(alias="listenAddrs")
+    instance_id: Text = field(name="node")
+    failure_domain: Text = field(name="zone")
+    listen: ListenAddresses = field(name="listenAddrs")
     limits: Limits
     bounds: Bounds
-    store: Store = Field(alias="platform")
+    store: Store = field(name="platform")
 
     def forwarding_settings(self, seed: int) -> ForwardingSettings:
         """Return the product's settings."""
@@ -80,12 +87,25 @@
         raise ConfigError([f"{path}: {error.strerror}"]) from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise ConfigError([f"{path}: {error}"]) from None
-    try:
-        return NodeFile.model_validate(values)
-    except ValidationError as error:
-        raise ConfigError(
-            [
-                f"{'.'.join(str(part) for part in item['loc'])}: {item['msg']}"
-                for item in error.errors()
-            ]
-        ) from None
+    problems = list(_problems(values, NodeFile, ""))
+    if problems:
+        raise ConfigError(problems)
+    return msgspec.convert(values, NodeFile)
+
+
+def _problems(values: Any, kind: type[Struct], prefix: str) -> Iterator[str]:
+    """Yield the mistakes of each field; a conversion as a whole would stop at the first."""
+    if not isinstance(values, dict):
+        yield f"{prefix.rstrip('.')}: must be a table"
+        return
+    for item in msgspec.structs.fields(kind):
+        name = f"{prefix}{item.encode_name}"
+        if item.encode_name not in values:
+            yield f"{name}: is missing"
+        elif isinstance(item.type, type) and issubclass(item.type, Struct):
+            yield from _problems(values[item.encode_name], item.type, f"{name}.")
+        else:
+            try:
+                msgspec.convert(values[item.encode_name], item.type)
+            except msgspec.ValidationError as error:
+                yield f"{name}: {error}"
--- a/turmerictiller/transport/process_metrics.py
+++ b/turmerictiller/transport/process_metrics.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller import __version__
-from turmerictiller.metrics import Series, new_series, record
 from turmerictiller.util.prometheus import family, named, summaries
+from turmerictiller.util.series import Series, new_series, record
 
 if TYPE_CHECKING:
     from turmerictiller.forwarding.state import State
--- a/turmerictiller/util/prometheus.py
+++ b/turmerictiller/util/prometheus.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.metrics import QUANTILES
+from turmerictiller.util.series import QUANTILES
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-    from turmerictiller.metrics import Series
+    from turmerictiller.util.series import Series
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "turmerictiller"
