Report not ready while cut off from other failure domains and unable to serve alone

Ruled out: not ready on any partition (three instances whose own domain has all shards can serve alone); failure of the servers themselves (the servers answered the other instances). Change: an instance that reached four fifths of the recently asked servers of other domains no more, and that lacks a reachable server for some route in use, reports itself not ready and closes connections with its answers; single connections, four a second, find the end of the partition.

--- a/turmerictiller/forwarding/choice.py
+++ b/turmerictiller/forwarding/choice.py
@@ -129,6 +129,7 @@
         state.out.append(LogDecision("server_readmitted", {"server": server.entry.id}, urgent=True))
     server.failures = 0
     server.unreachable = False
+    server.answered_at = state.now
     server.ejected_until = 0.0
     server.backoff_ms = 0.0
     raise_or_cut(state, server, service_state(state, server.entry.service), ms, times)
@@ -158,6 +159,7 @@
     _raise_trouble(state, server)
     server.failures += 1
     server.unreachable = unreachable
+    server.failed_at = state.now
     if server.failures < FAILURES_TO_EJECT:
         return
     _extend_ejection(state, server)
--- a/turmerictiller/forwarding/effects.py
+++ b/turmerictiller/forwarding/effects.py
@@ -42,6 +42,14 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeConnection:
+    """Open a connection to a server and tell whether that was possible."""
+
+    server_id: str
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class PassAnswer:
     """Give the caller the answer of one server unchanged."""
@@ -111,6 +119,7 @@
     SendAttempt
     | AbortAttempt
     | ForgetServer
+    | ProbeConnection
     | PassAnswer
     | AnswerMerged
     | Refuse
--- a/turmerictiller/forwarding/events.py
+++ b/turmerictiller/forwarding/events.py
@@ -94,6 +94,15 @@
     may_have_run: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionProbed:
+    """A connection to a server was opened, or could not be."""
+
+    at: Millis
+    server_id: str
+    reachable: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationSeen:
     """A configuration was read."""
@@ -160,6 +169,7 @@
     | CallerLeft
     | AttemptAnswered
     | AttemptFailed
+    | ConnectionProbed
     | ConfigurationSeen
     | ServerSeen
     | ServerEntryRemoved
--- /dev/null
+++ b/turmerictiller/forwarding/isolation.py
@@ -0,0 +1,116 @@
+"""Detection that this instance is cut off from the servers of other failure domains.
+
+An instance behind a partition still gets the callers of its own failure domain. If servers there can
+not serve them alone, the balancer should send them to the instances of other domains. So the instance
+reports itself not ready, and tests with single connections whether the partition is over.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.effects import LogDecision, ProbeConnection
+from turmerictiller.forwarding.overload import least_parts
+from turmerictiller.forwarding.servers import is_last_resort
+from turmerictiller.forwarding.state import TimerKind
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.events import ConnectionProbed
+    from turmerictiller.forwarding.model import Route
+    from turmerictiller.forwarding.state import ServerState, State
+
+REVIEW_MS = 250.0
+# What was seen of a server counts for so long, a few times the longest time to open a connection.
+EVIDENCE_MS = 2_000.0
+LEAST_SERVERS = 4
+CUT_SHARE = 0.8
+
+
+def start_reviews(state: State) -> None:
+    """Begin to review once there is a configuration."""
+    if not state.reviews_started and state.configuration is not None:
+        state.reviews_started = True
+        state.timers.add(state.now + REVIEW_MS, TimerKind.REVIEW)
+
+
+def on_review_due(state: State, key: None) -> None:
+    """Find out whether this instance is cut off, or whether it still is."""
+    state.timers.add(state.now + REVIEW_MS, TimerKind.REVIEW)
+    if state.is_cut_off:
+        _probe_one(state)
+    elif _is_cut(state):
+        unserved = [route.name for route in _routes_in_use(state) if not _can_serve(state, route)]
+        if unserved:
+            state.is_cut_off = True
+            state.counters["isolation.begun"] += 1
+            state.out.append(LogDecision("cut_off", {"routes": unserved[:8]}, urgent=True))
+
+
+def on_connection_probed(state: State, event: ConnectionProbed) -> None:
+    """Take callers again when a server of another failure domain can be reached."""
+    server = state.servers_by_id.get(event.server_id)
+    if server is None or not event.reachable:
+        return
+    server.unreachable = False
+    server.failures = 0
+    server.ejected_until = 0.0
+    server.answered_at = state.now
+    if state.is_cut_off:
+        state.is_cut_off = False
+        fields = {"server": event.server_id}
+        state.out.append(LogDecision("reconnected", fields, urgent=True))
+
+
+def _others(state: State) -> list[ServerState]:
+    own = state.settings.failure_domain
+    return [
+        server
+        for server in state.servers_by_id.values()
+        if server.entry.domain != own and is_last_resort(state, server) is not None
+    ]
+
+
+def _is_cut(state: State) -> bool:
+    since = state.now - EVIDENCE_MS
+    tried = [
+        server for server in _others(state) if max(server.answered_at, server.failed_at) > since
+    ]
+    failed = sum(server.failed_at > server.answered_at for server in tried)
+    return len(tried) >= LEAST_SERVERS and failed >= CUT_SHARE * len(tried)
+
+
+def _routes_in_use(state: State) -> list[Route]:
+    if state.configuration is None:
+        return []
+    return [
+        route
+        for by_prefix in state.configuration.routes_by_host.values()
+        for route in by_prefix.values()
+        if route.name in state.times_by_route
+    ]
+
+
+def _can_serve(state: State, route: Route) -> bool:
+    reachable = sum(_has_reachable(state, name) for name in route.services)
+    if route.shards:
+        return reachable >= least_parts(route.min_share, len(route.shards))
+    return reachable > 0
+
+
+def _has_reachable(state: State, name: str) -> bool:
+    service = state.services_by_name.get(name)
+    return service is not None and any(
+        server.failed_at <= server.answered_at or not server.failures
+        for server in service.servers_by_id.values()
+        if is_last_resort(state, server) is not None
+    )
+
+
+def _probe_one(state: State) -> None:
+    others = _others(state)
+    if not others:
+        # The servers that could not be reached are gone, so nothing says that there is a partition.
+        state.is_cut_off = False
+        return
+    server = state.rng.choice(others)
+    state.out.append(ProbeConnection(server.entry.id, server.entry.address))
--- a/turmerictiller/forwarding/reducer.py
+++ b/turmerictiller/forwarding/reducer.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.forwarding import configuration, requests, servers, shutdown, waiting
+from turmerictiller.forwarding import configuration, isolation, requests, servers, shutdown, waiting
 from turmerictiller.forwarding.effects import WakeAt
 from turmerictiller.forwarding.events import (
     AttemptAnswered,
@@ -12,6 +12,7 @@
     CallerLeft,
     CallersLeft,
     ConfigurationSeen,
+    ConnectionProbed,
     RegistryLost,
     RequestArrived,
     ServerEntryRemoved,
@@ -35,6 +36,7 @@
     CallerLeft: requests.on_caller_left,
     AttemptAnswered: requests.on_attempt_answered,
     AttemptFailed: requests.on_attempt_failed,
+    ConnectionProbed: isolation.on_connection_probed,
     ConfigurationSeen: configuration.on_configuration_seen,
     ServerSeen: servers.on_server_seen,
     ServerEntryRemoved: servers.on_server_entry_removed,
@@ -52,6 +54,7 @@
     TimerKind.CALLER_LEFT: requests.on_caller_left_due,
     TimerKind.WAIT: requests.on_wait_over,
     TimerKind.SERVERS: servers.on_forget_due,
+    TimerKind.REVIEW: isolation.on_review_due,
     TimerKind.SHUTDOWN: shutdown.on_shutdown_timer,
 }
 
@@ -66,6 +69,7 @@
     if state.services_with_room:
         waiting.send_waiting(state)
     shutdown.observe_readiness(state)
+    isolation.start_reviews(state)
     _set_wake(state)
     out, state.out = state.out, []
     return out
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -33,6 +33,7 @@
     CALLER_LEFT = "caller_left"
     WAIT = "wait"
     SERVERS = "servers"
+    REVIEW = "review"
     SHUTDOWN = "shutdown"
 
 
@@ -46,6 +47,8 @@
     :param failures: failures since the last answer.
     :param unreachable: the last failure was to open a connection.
     :param ejected_until: before this time, the server is used only if there is no other.
+    :param answered_at: when it last answered or accepted a connection.
+    :param failed_at: when it last failed.
     :param limit: attempts that may be unanswered at once; 0 until the first attempt.
     :param limit_cut_at: when the limit was last lowered.
     :param removed_at: when its entry was removed; ``None`` while there is one.
@@ -62,6 +65,8 @@
     unreachable: bool = False
     ejected_until: Millis = 0.0
     backoff_ms: float = 0.0
+    answered_at: Millis = float("-inf")
+    failed_at: Millis = float("-inf")
     limit: float = 0.0
     limit_cut_at: Millis = float("-inf")
     removed_at: Millis | None = None
@@ -165,7 +170,11 @@
 
 @dataclass(slots=True)
 class State:
-    """Everything that the decisions depend on."""
+    """Everything that the decisions depend on.
+
+    :param is_cut_off: servers of other failure domains can not be reached from here, and without
+        them some route can not be served.
+    """
 
     settings: ForwardingSettings
     rng: random.Random
@@ -175,6 +184,8 @@
     configuration: Configuration | None = None
     servers_listed: bool = False
     registry_lost: bool = False
+    is_cut_off: bool = False
+    reviews_started: bool = False
     services_by_name: dict[str, ServiceState] = field(default_factory=dict)
     servers_by_id: dict[str, ServerState] = field(default_factory=dict)
     removed_revision_by_id: dict[str, int] = field(default_factory=dict)
--- a/turmerictiller/transport/http_client.py
+++ b/turmerictiller/transport/http_client.py
@@ -216,6 +216,17 @@
         loop = asyncio.get_running_loop()
         exchange.opening = loop.create_task(self._open(address, exchange))
 
+    async def probe(self, address: str) -> bool:
+        """Open a connection, keep it, and return whether that was possible."""
+        try:
+            connection = await self._connect(address)
+        except (TimeoutError, OSError, ValueError):
+            return False
+        if connection.closed:
+            return False
+        self.keep(connection)
+        return True
+
     def abort(self, exchange: Exchange) -> None:
         """End a request without an answer; its server notices the end of the connection."""
         exchange.ended = True
@@ -266,13 +277,8 @@
         return None
 
     async def _open(self, address: str, exchange: Exchange) -> None:
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self, address), host, int(port)
-                )
+            connection = await self._connect(address)
         except TimeoutError:
             _fail_unsent(exchange, Failure.CONNECT_TIMEOUT)
             return
@@ -287,6 +293,15 @@
         else:
             connection.send(exchange)
 
+    async def _connect(self, address: str) -> ClientConnection:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+            _, connection = await loop.create_connection(
+                lambda: ClientConnection(self, address), host, int(port)
+            )
+        return connection
+
 
 def _fail_unsent(exchange: Exchange, failure: Failure) -> None:
     if not exchange.ended:
--- a/turmerictiller/transport/shell.py
+++ b/turmerictiller/transport/shell.py
@@ -67,10 +67,12 @@
         self._exchanges_by_attempt: dict[int, Exchange] = {}
         self._next_call_id = 1
         self._wake: asyncio.TimerHandle | None = None
+        self._probes: set[asyncio.Task[None]] = set()
         self._run_by_effect: dict[type, Callable[[Any], None]] = {
             effects.SendAttempt: self._send,
             effects.AbortAttempt: self._abort,
             effects.ForgetServer: lambda effect: self.pool.close_address(effect.address),
+            effects.ProbeConnection: self._probe_connection,
             effects.PassAnswer: self._pass_answer,
             effects.AnswerMerged: self._answer_merged,
             effects.Refuse: self._refuse,
@@ -84,7 +86,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send new connections."""
-        return self.state.phase is ProcessPhase.RUNNING
+        return self.state.phase is ProcessPhase.RUNNING and not self.state.is_cut_off
 
     def now_ms(self) -> Millis:
         return self.clock.now_ms()
@@ -166,7 +168,7 @@
         call = self._calls_by_id.pop(call_id, None)
         if call is None:
             return
-        close = call.connection.must_close or self.state.phase is not ProcessPhase.RUNNING
+        close = call.connection.must_close or not self.is_ready
         self.metrics.observe_answer(self.clock.now_ms() - call.arrived_at)
         call.connection.answer(write(call, close), close)
 
@@ -247,6 +249,16 @@
         now = self.clock.now_ms()
         self.dispatch(events.AttemptFailed(now, attempt_id, failure, may_have_run))
 
+    def _probe_connection(self, effect: effects.ProbeConnection) -> None:
+        async def probe() -> None:
+            reachable = await self.pool.probe(effect.address)
+            now = self.clock.now_ms()
+            self.dispatch(events.ConnectionProbed(now, effect.server_id, reachable))
+
+        task = asyncio.get_running_loop().create_task(probe())
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
     # Timers and log
 
     def _set_wake(self, effect: effects.WakeAt) -> None:
