Let instances find each other, share budgets by their number, and hand on what is published

Cause: an instance that started while the store was away served nothing; the fixed part of the budget of repeats and the connections of a server were shared among an assumed number of instances (12 and 10), which is wrong for 68 or 90; a request that crashes servers was met anew by every instance. Change: one exchange a second with a random instance, thrift over HTTP on the machine's own ports, first found through the seeds; membership with ages, the largest number seen lately divides shares; crashes add up to a quarantine, and an answer takes suspicion back; documents go to instances that lack them. A partition is found after half a second, because answers from before it count no longer.

--- a/tests/forwarding/test_extra_attempts.py
+++ b/tests/forwarding/test_extra_attempts.py
@@ -5,9 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from turmerictiller.forwarding.extra_attempts import ASSUMED_INSTANCES, WindowCount, take_extra
+from turmerictiller.forwarding.extra_attempts import take_extra
+from turmerictiller.forwarding.peers import ASSUMED_INSTANCES
 from turmerictiller.forwarding.settings import ForwardingSettings
 from turmerictiller.forwarding.state import new_state, service_state
+from turmerictiller.util.window_count import WindowCount
 
 SLACK = 60.0
 SETTINGS = ForwardingSettings("e1", "north", extra_ratio=0.2, extra_slack=SLACK)
--- /dev/null
+++ b/tests/forwarding/test_peers.py
@@ -0,0 +1,194 @@
+"""Tests of what instances learn from each other."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.forwarding.driving import SETTINGS, Driver, configuration, gather_route, single_route
+from turmerictiller.errors import FrameError, Ran, RefusalType
+from turmerictiller.forwarding.effects import AskPeer, Refuse
+from turmerictiller.forwarding.events import Failure, PeerHeard
+from turmerictiller.forwarding.peers import (
+    ASSUMED_INSTANCES,
+    KEEP_NUMBER_MS,
+    PEER_LIFE_MS,
+    Hello,
+    PeerEntry,
+    instances,
+    own_hello,
+)
+from turmerictiller.forwarding.quarantine import QUARANTINE_MS
+from turmerictiller.forwarding.state import new_state
+from turmerictiller.transport.peer_messages import Document, read_exchange, write_exchange
+
+
+def instance(number: int, seeds: tuple[int, ...] = (1, 2)) -> Driver:
+    """Return a driver of an instance at an address of its own."""
+    settings = replace(
+        SETTINGS,
+        instance_id=f"e{number}",
+        seed=number,
+        peer_address=f"10.0.0.{number}:7000",
+        seed_addresses=tuple(f"10.0.0.{seed}:7000" for seed in seeds),
+    )
+    driver = Driver(new_state(settings))
+    driver.start(configuration(gather_route(), single_route(True)))
+    return driver
+
+
+def exchange_all(drivers: list[Driver], seconds: int, cut: tuple[str, ...] = ()) -> None:
+    """Let instances ask each other for some seconds, but for those that are cut off."""
+    by_address = {driver.state.settings.peer_address: driver for driver in drivers}
+    for _ in range(seconds):
+        questions = [
+            (driver, effect)
+            for driver in drivers
+            for effect in driver.wait(1_000)
+            if isinstance(effect, AskPeer)
+        ]
+        for driver, effect in questions:
+            asked = by_address.get(effect.address)
+            own = driver.state.settings.peer_address
+            if asked is None or own in cut or effect.address in cut:
+                continue
+            asked.give(PeerHeard(asked.now, effect.hello))
+            driver.give(PeerHeard(driver.now, own_hello(asked.state)))
+
+
+def test_all_instances_find_each_other_through_seeds() -> None:
+    """Guards against shares that are too large because instances do not know of each other."""
+    drivers = [instance(number) for number in range(1, 10)]
+    assert {instances(driver.state) for driver in drivers} == {ASSUMED_INSTANCES}
+    exchange_all(drivers, 8)
+    assert {instances(driver.state) for driver in drivers} == {9}
+
+
+def test_share_of_an_instance_that_is_cut_off_grows_late() -> None:
+    """Guards against budgets that both sides of a partition use as if they were alone."""
+    drivers = [instance(number) for number in range(1, 6)]
+    exchange_all(drivers, 8)
+    lonely = drivers[-1]
+    exchange_all(drivers, int(PEER_LIFE_MS / 1000) + 4, cut=("10.0.0.5:7000",))
+    assert lonely.state.peers_by_id == {}
+    assert instances(lonely.state) == 5
+    exchange_all(drivers, int(KEEP_NUMBER_MS / 1000), cut=("10.0.0.5:7000",))
+    assert instances(drivers[0].state) == 4
+
+
+def test_instance_that_leaves_or_falls_silent_is_dropped() -> None:
+    """Guards against questions to instances that are gone."""
+    drivers = [instance(number) for number in range(1, 4)]
+    exchange_all(drivers, 6)
+    leaving = own_hello(drivers[2].state)
+    drivers[0].give(PeerHeard(drivers[0].now, replace(leaving, leaving=True)))
+    assert set(drivers[0].state.peers_by_id) == {"e2"}
+    drivers[0].wait(PEER_LIFE_MS + 2_000)
+    assert drivers[0].state.peers_by_id == {}
+
+
+def crash_once(driver: Driver, fingerprint: int) -> None:
+    """Send a request that crashes the server which runs it."""
+    call_id = driver.request("/one/x", fingerprint=fingerprint)
+    sent = driver.sent(call_id)
+    if not sent:
+        return
+    driver.fail(sent[0], Failure.RESET)
+    for server in driver.state.servers_by_id.values():
+        if server.entry.id == sent[0].server_id:
+            server.trouble = server.slowness = 0.0
+    for _ in range(12):
+        other = driver.request("/one/x")
+        for item in driver.sent(other):
+            if item.server_id == sent[0].server_id:
+                driver.fail(item, Failure.REFUSED, may_have_run=False)
+                driver.wait(3_000)
+                return
+            driver.wait(20)
+            driver.answer(item)
+    raise AssertionError("the server was not asked again")
+
+
+def test_instances_add_up_crashes_and_refuse_the_request() -> None:
+    """Guards against a request that crashes a server at each instance anew."""
+    drivers = [instance(number) for number in range(1, 4)]
+    exchange_all(drivers, 5)
+    for driver in drivers:
+        crash_once(driver, fingerprint=99)
+    exchange_all(drivers, 6)
+    for driver in drivers:
+        outcome = driver.outcome(driver.request("/one/x", fingerprint=99))
+        assert isinstance(outcome, Refuse)
+        assert outcome.refusal.type is RefusalType.QUARANTINED
+        assert outcome.refusal.ran is Ran.NO
+        assert driver.sent(driver.request("/one/x", fingerprint=98))
+    exchange_all(drivers, int(QUARANTINE_MS / 1000) + 2)
+    assert drivers[0].sent(drivers[0].request("/one/x", fingerprint=99))
+
+
+def test_answer_takes_the_suspicion_back() -> None:
+    """Guards against frequent requests that are refused because servers crashed beside them."""
+    driver = instance(1)
+    for _ in range(2):
+        crash_once(driver, fingerprint=99)
+    call_id = driver.request("/one/x", fingerprint=99)
+    driver.answer(driver.sent(call_id)[0])
+    crash_once(driver, fingerprint=99)
+    assert driver.sent(driver.request("/one/x", fingerprint=99))
+
+
+ENTRIES = st.builds(
+    PeerEntry,
+    st.text(max_size=20),
+    st.just("10.0.0.1:7000"),
+    st.integers(0, 2**62),
+    st.integers(0, 2**31 - 1).map(float),
+)
+HELLOS = st.builds(
+    Hello,
+    ENTRIES,
+    st.booleans(),
+    st.lists(ENTRIES, max_size=5).map(tuple),
+    st.dictionaries(st.integers(0, 2**56 - 1), st.integers(0, 2**31 - 1), max_size=5),
+    st.integers(0, 2**62),
+    st.booleans(),
+)
+DOCUMENTS = st.lists(
+    st.builds(
+        Document,
+        st.text(max_size=20),
+        st.integers(0, 2**62),
+        st.none() | st.binary(max_size=50),
+    ),
+    max_size=5,
+)
+
+
+@given(HELLOS, DOCUMENTS)
+def test_exchange_survives_the_wire(hello: Hello, documents: list[Document]) -> None:
+    """Guards against fields that are lost or mixed up between instances."""
+    assert read_exchange(write_exchange(hello, documents)) == (hello, documents)
+
+
+@given(HELLOS, st.data())
+def test_damaged_exchange_is_refused_or_read(hello: Hello, data: st.DataObject) -> None:
+    """Guards against bytes of another program that stop an instance."""
+    whole = write_exchange(hello, [])
+    cut = data.draw(st.integers(0, len(whole) - 1))
+    noise = data.draw(st.binary(max_size=8))
+    try:
+        read_exchange(whole[:cut] + noise)
+    except FrameError:
+        return
+
+
+def test_other_protocol_version_is_refused() -> None:
+    """Guards against instances of different versions that misread each other."""
+    whole = bytearray(write_exchange(own_hello(instance(1).state), []))
+    at = whole.index(b"\x06\x00\x01") + 3
+    whole[at : at + 2] = b"\x00\x09"
+    with pytest.raises(FrameError):
+        read_exchange(bytes(whole))
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -10,7 +10,7 @@
 
 from standins.shard_server import RECORD_BYTES
 from standins.store import as_value
-from tests.platform.serving import SHARDS, configuration, deployment
+from tests.platform.serving import SHARDS, configuration, deployment, second_instance
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -268,3 +268,23 @@
             assert (await caller.ask("/search/x")).status == 200
 
     asyncio.run(play())
+
+
+def test_instance_that_starts_without_the_store_learns_everything_from_another(
+    tmp_path: Path,
+) -> None:
+    """Guards against instances that serve nothing when they start while the store is away."""
+
+    async def play() -> None:
+        async with deployment(tmp_path) as made:
+            made.store.mode = "busy"
+            async with second_instance(tmp_path, made) as caller:
+                async with asyncio.timeout(5):
+                    while (await caller.ask("/search/x", request_id="r1")).status != 200:
+                        await asyncio.sleep(0.1)
+                    answer = await caller.ask("/once/x", method="POST", request_id="r2")
+                assert answer.status == 200
+                first = made.instance.shell.state
+                assert [peer.address for peer in first.peers_by_id.values()]
+
+    asyncio.run(play())
--- a/turmerictiller/forwarding/admission.py
+++ b/turmerictiller/forwarding/admission.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller.errors import Ran, Refusal, RefusalType
+from turmerictiller.forwarding.quarantine import quarantined_ms
 from turmerictiller.forwarding.routes import find_route
 from turmerictiller.phases import ProcessPhase
 
@@ -31,6 +32,10 @@
         return Refusal(RefusalType.NOT_FOUND, "no route begins this path")
     if event.budget_ms is not None and event.budget_ms <= 0:
         return Refusal(RefusalType.OVERLOADED, "no time is left", retry_after_ms=0)
+    left_ms = quarantined_ms(state, event.fingerprint)
+    if left_ms:
+        message = "this request has crashed servers"
+        return Refusal(RefusalType.QUARANTINED, message, Ran.NO, round(left_ms))
     if len(state.requests_by_call) >= state.settings.max_requests:
         message = "too many requests are in flight"
         return Refusal(RefusalType.OVERLOADED, message, retry_after_ms=OVERLOADED_RETRY_MS)
--- a/turmerictiller/forwarding/attempts.py
+++ b/turmerictiller/forwarding/attempts.py
@@ -48,6 +48,7 @@
         server.entry.id,
         state.now,
         route.idempotent,
+        request.fingerprint,
         is_extra,
     )
     state.next_attempt_id += 1
--- a/turmerictiller/forwarding/effects.py
+++ b/turmerictiller/forwarding/effects.py
@@ -10,6 +10,7 @@
     from turmerictiller.errors import Refusal
     from turmerictiller.forwarding.events import UpstreamAnswer
     from turmerictiller.forwarding.model import CallerLimits
+    from turmerictiller.forwarding.peers import Hello
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,14 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class AskPeer:
+    """Tell another instance what is known here, and learn what it knows."""
+
+    address: str
+    hello: Hello
+
+
 @dataclass(frozen=True, slots=True)
 class PassAnswer:
     """Give the caller the answer of one server unchanged."""
@@ -120,6 +129,7 @@
     | AbortAttempt
     | ForgetServer
     | ProbeConnection
+    | AskPeer
     | PassAnswer
     | AnswerMerged
     | Refuse
--- a/turmerictiller/forwarding/events.py
+++ b/turmerictiller/forwarding/events.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
     from turmerictiller.forwarding.model import Configuration, ServerEntry
+    from turmerictiller.forwarding.peers import Hello
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +104,14 @@
     reachable: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PeerHeard:
+    """Another instance has asked or answered."""
+
+    at: Millis
+    hello: Hello
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationSeen:
     """A configuration was read."""
@@ -113,19 +122,27 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerSeen:
-    """A server has published an entry."""
+    """A server has published an entry.
+
+    :param from_peer: another instance told it, not the registry.
+    """
 
     at: Millis
     entry: ServerEntry
+    from_peer: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class ServerEntryRemoved:
-    """The entry of a server was removed at a revision, by the server or for its silence."""
+    """The entry of a server was removed at a revision, by the server or for its silence.
+
+    :param from_peer: another instance told it, not the registry.
+    """
 
     at: Millis
     server_id: str
     revision: int
+    from_peer: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,12 +150,14 @@
     """All entries were read; those known at ``revision`` that are not among them were removed.
 
     :param unreadable_ids: servers whose entries are there but can not be read.
+    :param from_peer: another instance told it, not the registry.
     """
 
     at: Millis
     revision: int
     entries: tuple[ServerEntry, ...]
     unreadable_ids: frozenset[str] = frozenset()
+    from_peer: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +189,7 @@
     | AttemptAnswered
     | AttemptFailed
     | ConnectionProbed
+    | PeerHeard
     | ConfigurationSeen
     | ServerSeen
     | ServerEntryRemoved
--- a/turmerictiller/forwarding/isolation.py
+++ b/turmerictiller/forwarding/isolation.py
@@ -20,8 +20,10 @@
     from turmerictiller.forwarding.state import ServerState, State
 
 REVIEW_MS = 250.0
-# What was seen of a server counts for so long, a few times the longest time to open a connection.
-EVIDENCE_MS = 2_000.0
+# A failure counts for so long, a few times the longest time to open a connection, and an answer only
+# for a shorter time, because servers that answered before a partition are not asked again in it.
+FAILURE_EVIDENCE_MS = 2_000.0
+ANSWER_EVIDENCE_MS = 500.0
 LEAST_SERVERS = 4
 CUT_SHARE = 0.8
 
@@ -71,12 +73,14 @@
 
 
 def _is_cut(state: State) -> bool:
-    since = state.now - EVIDENCE_MS
-    tried = [
-        server for server in _others(state) if max(server.answered_at, server.failed_at) > since
-    ]
-    failed = sum(server.failed_at > server.answered_at for server in tried)
-    return len(tried) >= LEAST_SERVERS and failed >= CUT_SHARE * len(tried)
+    failed = answered = 0
+    for server in _others(state):
+        if server.failed_at > server.answered_at:
+            failed += state.now - server.failed_at < FAILURE_EVIDENCE_MS
+        else:
+            answered += state.now - server.answered_at < ANSWER_EVIDENCE_MS
+    tried = failed + answered
+    return tried >= LEAST_SERVERS and failed >= CUT_SHARE * tried
 
 
 def _routes_in_use(state: State) -> list[Route]:
--- a/turmerictiller/forwarding/limits.py
+++ b/turmerictiller/forwarding/limits.py
@@ -9,12 +9,14 @@
 
 from typing import TYPE_CHECKING
 
+from turmerictiller.forwarding.peers import instances
+
 if TYPE_CHECKING:
     from turmerictiller.forwarding.state import RouteTimes, ServerState, ServiceState, State
 
-# Instances among which the connections of a server are shared: today's deployments have 8 or 9.
-SHARING_INSTANCES = 10
-MIN_CONNECTIONS = 2
+# Part of the connections of a server that all instances use; some are open for a moment longer.
+CONNECTIONS_IN_USE = 0.9
+MIN_CONNECTIONS = 1
 # Noise makes a server 2.5 times slower for a while; longer answers come from a queue or a fault.
 CONGESTED_FACTOR = 3.0
 CUT_FACTOR = 0.7
@@ -28,7 +30,8 @@
     known = configuration.services_by_name.get(service.name) if configuration else None
     if known is None:
         return MIN_CONNECTIONS
-    return max(MIN_CONNECTIONS, round(known.max_connections / SHARING_INSTANCES))
+    share = CONNECTIONS_IN_USE * known.max_connections / instances(state)
+    return max(MIN_CONNECTIONS, round(share))
 
 
 def has_room(server: ServerState, most: int) -> bool:
--- /dev/null
+++ b/turmerictiller/forwarding/peers.py
@@ -0,0 +1,167 @@
+"""Other instances: which are there, and what instances tell each other.
+
+Each instance asks one random instance a second, and both learn what the other knows. So the cost per
+instance does not grow with their number, and news reach all within some seconds. Nothing depends on
+being heard by all: shares of budgets follow the largest number that was seen lately, and documents
+are compared by their versions.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.effects import AskPeer, LogDecision
+from turmerictiller.forwarding.state import TimerKind
+from turmerictiller.phases import ProcessPhase
+
+if TYPE_CHECKING:
+    from turmerictiller.clock import Millis
+    from turmerictiller.forwarding.events import PeerHeard
+    from turmerictiller.forwarding.state import State
+
+EXCHANGE_MS = 1_000.0
+# An instance asks one other a second, so the news of a living one are seldom older than this.
+PEER_LIFE_MS = 8_000.0
+# After a loss of contact, shares stay those of the larger number for so long: longer than instances
+# take to start again, and than the window in which repeats are counted.
+KEEP_NUMBER_MS = 30_000.0
+# Until another instance was heard: today's largest deployment has 9 instances and may add 3.
+ASSUMED_INSTANCES = 12
+MAX_TOLD = 128
+MAX_PEERS = 2_000
+SEED_SHARE = 0.2  # of the questions go to addresses from the settings, so that partitions heal
+
+
+@dataclass(frozen=True, slots=True)
+class PeerEntry:
+    """What is told of an instance.
+
+    :param age_ms: time since it was last heard, by anyone.
+    """
+
+    id: str
+    address: str
+    incarnation: int
+    age_ms: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """What one instance tells another.
+
+    :param crashes_by_fingerprint: calls that crashed a server, by request, as the sender saw it.
+    :param version: version of its configuration; 0 without one.
+    :param wants_documents: the sender can not read them where they are published.
+    """
+
+    sender: PeerEntry
+    leaving: bool
+    entries: tuple[PeerEntry, ...]
+    crashes_by_fingerprint: dict[int, int]
+    version: int
+    wants_documents: bool
+
+
+@dataclass(slots=True)
+class PeerState:
+    """Another instance."""
+
+    address: str
+    incarnation: int
+    heard_at: Millis
+
+
+def start_exchanges(state: State) -> None:
+    """Begin to ask other instances."""
+    if not state.exchanges_started and state.settings.peer_address:
+        state.exchanges_started = True
+        state.timers.add(state.now, TimerKind.EXCHANGE)
+
+
+def on_exchange_due(state: State, key: None) -> None:
+    """Ask one other instance."""
+    state.timers.add(state.now + EXCHANGE_MS, TimerKind.EXCHANGE)
+    _forget_silent(state)
+    own = state.settings.peer_address
+    addresses = [peer.address for peer in state.peers_by_id.values() if peer.address != own]
+    seeds = [address for address in state.settings.seed_addresses if address != own]
+    if seeds and (not addresses or state.rng.random() < SEED_SHARE):
+        addresses = seeds
+    if addresses:
+        state.out.append(AskPeer(state.rng.choice(addresses), own_hello(state)))
+
+
+def on_peer_heard(state: State, event: PeerHeard) -> None:
+    """Take over what another instance tells."""
+    hello = event.hello
+    if hello.leaving:
+        if state.peers_by_id.pop(hello.sender.id, None) is not None:
+            state.out.append(LogDecision("peer_left", {"peer": hello.sender.id}, urgent=True))
+    else:
+        _take(state, hello.sender)
+    for entry in hello.entries:
+        if entry.age_ms < PEER_LIFE_MS:
+            _take(state, entry)
+    _note_number(state)
+    own = state.own_incarnation
+    state.crashes_by_peer[hello.sender.id] = (
+        hello.crashes_by_fingerprint if hello.sender.incarnation != own else {}
+    )
+
+
+def _take(state: State, entry: PeerEntry) -> None:
+    if entry.id == state.settings.instance_id:
+        return
+    heard_at = state.now - entry.age_ms
+    peer = state.peers_by_id.get(entry.id)
+    if peer is None:
+        if len(state.peers_by_id) < MAX_PEERS:
+            state.peers_by_id[entry.id] = PeerState(entry.address, entry.incarnation, heard_at)
+            fields = {"peer": entry.id, "address": entry.address, "age_ms": round(entry.age_ms)}
+            state.out.append(LogDecision("peer_added", fields, urgent=True))
+    elif heard_at > peer.heard_at:
+        peer.address, peer.incarnation, peer.heard_at = entry.address, entry.incarnation, heard_at
+
+
+def _forget_silent(state: State) -> None:
+    for peer_id, peer in list(state.peers_by_id.items()):
+        if state.now - peer.heard_at > PEER_LIFE_MS:
+            del state.peers_by_id[peer_id]
+            state.crashes_by_peer.pop(peer_id, None)
+            fields = {"peer": peer_id, "silent_ms": round(state.now - peer.heard_at)}
+            state.out.append(LogDecision("peer_lost", fields, urgent=True))
+    _note_number(state)
+
+
+def _note_number(state: State) -> None:
+    number = len(state.peers_by_id) + 1
+    if number >= state.most_instances or state.now - state.most_instances_at > KEEP_NUMBER_MS:
+        state.most_instances = number
+        state.most_instances_at = state.now
+
+
+def instances(state: State) -> int:
+    """Return among how many instances shares are divided."""
+    return state.most_instances if state.most_instances > 1 else ASSUMED_INSTANCES
+
+
+def own_hello(state: State) -> Hello:
+    """Return what this instance tells."""
+    settings = state.settings
+    known = list(state.peers_by_id.items())
+    if len(known) > MAX_TOLD:
+        known = state.rng.sample(known, MAX_TOLD)
+    entries = tuple(
+        PeerEntry(peer_id, peer.address, peer.incarnation, max(0.0, state.now - peer.heard_at))
+        for peer_id, peer in known
+    )
+    configuration = state.configuration
+    return Hello(
+        PeerEntry(settings.instance_id, settings.peer_address, state.own_incarnation, 0.0),
+        state.phase not in (ProcessPhase.STARTING, ProcessPhase.RUNNING),
+        entries,
+        {number: suspect.crashes for number, suspect in state.suspects_by_fingerprint.items()},
+        configuration.version if configuration else 0,
+        configuration is None or not state.servers_listed or state.registry_lost,
+    )
--- a/turmerictiller/forwarding/reducer.py
+++ b/turmerictiller/forwarding/reducer.py
@@ -4,7 +4,15 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.forwarding import configuration, isolation, requests, servers, shutdown, waiting
+from turmerictiller.forwarding import (
+    configuration,
+    isolation,
+    peers,
+    requests,
+    servers,
+    shutdown,
+    waiting,
+)
 from turmerictiller.forwarding.effects import WakeAt
 from turmerictiller.forwarding.events import (
     AttemptAnswered,
@@ -13,6 +21,7 @@
     CallersLeft,
     ConfigurationSeen,
     ConnectionProbed,
+    PeerHeard,
     RegistryLost,
     RequestArrived,
     ServerEntryRemoved,
@@ -37,6 +46,7 @@
     AttemptAnswered: requests.on_attempt_answered,
     AttemptFailed: requests.on_attempt_failed,
     ConnectionProbed: isolation.on_connection_probed,
+    PeerHeard: peers.on_peer_heard,
     ConfigurationSeen: configuration.on_configuration_seen,
     ServerSeen: servers.on_server_seen,
     ServerEntryRemoved: servers.on_server_entry_removed,
@@ -55,6 +65,7 @@
     TimerKind.WAIT: requests.on_wait_over,
     TimerKind.SERVERS: servers.on_forget_due,
     TimerKind.REVIEW: isolation.on_review_due,
+    TimerKind.EXCHANGE: peers.on_exchange_due,
     TimerKind.SHUTDOWN: shutdown.on_shutdown_timer,
 }
 
@@ -70,6 +81,7 @@
         waiting.send_waiting(state)
     shutdown.observe_readiness(state)
     isolation.start_reviews(state)
+    peers.start_exchanges(state)
     _set_wake(state)
     out, state.out = state.out, []
     return out
--- a/turmerictiller/forwarding/requests.py
+++ b/turmerictiller/forwarding/requests.py
@@ -30,6 +30,7 @@
 from turmerictiller.forwarding.events import Failure
 from turmerictiller.forwarding.extra_attempts import return_extra, take_extra
 from turmerictiller.forwarding.overload import ANSWER_MARGIN_MS, least_parts, parts_to_leave_out
+from turmerictiller.forwarding.quarantine import on_answered, on_broken_off, on_refused
 from turmerictiller.forwarding.records import merge_greatest
 from turmerictiller.forwarding.servers import on_other_server
 from turmerictiller.forwarding.state import Part, Request, TimerKind, route_times, service_state
@@ -148,6 +149,7 @@
             observe_not_run(state, server)
         _on_lost(state, request, attempt, "not_run", may_have_run=False)
         return
+    on_answered(state, attempt.fingerprint)
     times = route_times(state, attempt.route)
     is_good = 200 <= answer.status < 300 and bool(answer.signature)
     if server is not None:
@@ -195,13 +197,20 @@
         if event.failure is Failure.OTHER_SERVER:
             on_other_server(state, server)
         else:
-            unreachable = is_connection_failure(event.failure)
-            observe_failure(state, server, event.failure.value, unreachable)
+            _observe_loss(state, server, attempt, event.failure)
     request = state.requests_by_call.get(attempt.call_id)
     is_free = is_connection_failure(event.failure)
     _on_lost(state, request, attempt, event.failure.value, event.may_have_run, is_free)
 
 
+def _observe_loss(state: State, server: ServerState, attempt: Attempt, failure: Failure) -> None:
+    observe_failure(state, server, failure.value, is_connection_failure(failure))
+    if failure is Failure.REFUSED:
+        on_refused(state, server)
+    elif failure in (Failure.CLOSED, Failure.RESET):
+        on_broken_off(state, server, attempt)
+
+
 def _on_lost(
     state: State,
     request: Request | None,
--- a/turmerictiller/forwarding/servers.py
+++ b/turmerictiller/forwarding/servers.py
@@ -27,13 +27,13 @@
 
 def on_server_seen(state: State, event: ServerSeen) -> None:
     """Take over the entry of a server unless a newer one is known."""
-    _registry_answers(state)
+    _registry_answers(state, event.from_peer)
     _take_entry(state, event.entry)
 
 
 def on_server_entry_removed(state: State, event: ServerEntryRemoved) -> None:
     """Note that the entry of a server was removed."""
-    _registry_answers(state)
+    _registry_answers(state, event.from_peer)
     server = state.servers_by_id.get(event.server_id)
     if server is not None and event.revision > server.entry.revision:
         _remove(state, server, event.revision)
@@ -41,7 +41,7 @@
 
 def on_servers_listed(state: State, event: ServersListed) -> None:
     """Take over all entries, and note which were removed."""
-    _registry_answers(state)
+    _registry_answers(state, event.from_peer)
     state.servers_listed = True
     listed = {entry.id for entry in event.entries} | event.unreadable_ids
     for entry in event.entries:
@@ -59,8 +59,8 @@
         state.out.append(LogDecision("registry_lost", fields, urgent=True))
 
 
-def _registry_answers(state: State) -> None:
-    if state.registry_lost:
+def _registry_answers(state: State, from_peer: bool) -> None:
+    if state.registry_lost and not from_peer:
         state.registry_lost = False
         state.out.append(LogDecision("registry_regained", urgent=True))
 
--- a/turmerictiller/forwarding/settings.py
+++ b/turmerictiller/forwarding/settings.py
@@ -9,6 +9,8 @@
 class ForwardingSettings:
     """Settings of one instance. Times are in milliseconds.
 
+    :param peer_address: ``IP:PORT`` at which other instances reach this one; empty for none.
+    :param seed_addresses: where some other instances may be found.
     :param extra_ratio: attempts beyond the first per request to a service, over all instances.
     :param extra_slack: such attempts that are allowed besides, over all instances.
     :param extra_window_ms: time over which these attempts are counted.
@@ -19,6 +21,8 @@
     instance_id: str
     failure_domain: str
     seed: int = 1
+    peer_address: str = ""
+    seed_addresses: tuple[str, ...] = ()
     extra_ratio: float = 0.2
     extra_slack: float = 0.0
     extra_window_ms: float = 10_000.0
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -8,16 +8,18 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from turmerictiller.forwarding.extra_attempts import BUCKETS, WindowCount
 from turmerictiller.phases import ProcessPhase
 from turmerictiller.util.histogram import RecentTimes
 from turmerictiller.util.timers import Timers
+from turmerictiller.util.window_count import BUCKETS, WindowCount
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
     from turmerictiller.forwarding.effects import Effect
     from turmerictiller.forwarding.events import UpstreamAnswer
     from turmerictiller.forwarding.model import Configuration, Route, ServerEntry
+    from turmerictiller.forwarding.peers import PeerState
+    from turmerictiller.forwarding.quarantine import Suspect
     from turmerictiller.forwarding.settings import ForwardingSettings
 
 TIMES_PER_UPDATE = 16  # answers after which the quantiles of a route are computed again
@@ -34,6 +36,7 @@
     WAIT = "wait"
     SERVERS = "servers"
     REVIEW = "review"
+    EXCHANGE = "exchange"
     SHUTDOWN = "shutdown"
 
 
@@ -51,6 +54,7 @@
     :param failed_at: when it last failed.
     :param limit: attempts that may be unanswered at once; 0 until the first attempt.
     :param limit_cut_at: when the limit was last lowered.
+    :param broken: attempts that it broke off, as time, fingerprint and call.
     :param removed_at: when its entry was removed; ``None`` while there is one.
     :param draining_at: when it was first seen draining.
     """
@@ -69,6 +73,7 @@
     failed_at: Millis = float("-inf")
     limit: float = 0.0
     limit_cut_at: Millis = float("-inf")
+    broken: list[tuple[Millis, int, int]] = field(default_factory=list)
     removed_at: Millis | None = None
     draining_at: Millis | None = None
 
@@ -165,6 +170,7 @@
     server_id: str
     sent_at: Millis
     idempotent: bool
+    fingerprint: int
     is_extra: bool = False
 
 
@@ -172,6 +178,9 @@
 class State:
     """Everything that the decisions depend on.
 
+    :param own_incarnation: drawn at each start.
+    :param most_instances: largest number of instances that was seen lately, this one included.
+    :param crashes_by_peer: what other instances tell of requests that crash servers.
     :param is_cut_off: servers of other failure domains can not be reached from here, and without
         them some route can not be served.
     """
@@ -186,6 +195,13 @@
     registry_lost: bool = False
     is_cut_off: bool = False
     reviews_started: bool = False
+    exchanges_started: bool = False
+    own_incarnation: int = 0
+    peers_by_id: dict[str, PeerState] = field(default_factory=dict)
+    most_instances: int = 1
+    most_instances_at: Millis = 0.0
+    suspects_by_fingerprint: dict[int, Suspect] = field(default_factory=dict)
+    crashes_by_peer: dict[str, dict[int, int]] = field(default_factory=dict)
     services_by_name: dict[str, ServiceState] = field(default_factory=dict)
     servers_by_id: dict[str, ServerState] = field(default_factory=dict)
     removed_revision_by_id: dict[str, int] = field(default_factory=dict)
@@ -202,7 +218,9 @@
 
 def new_state(settings: ForwardingSettings) -> State:
     """Return the state of an instance that knows nothing yet."""
-    return State(settings, random.Random(settings.seed))
+    state = State(settings, random.Random(settings.seed))
+    state.own_incarnation = state.rng.getrandbits(62)
+    return state
 
 
 def service_state(state: State, name: str) -> ServiceState:
--- /dev/null
+++ b/turmerictiller/instances.thrift
@@ -0,0 +1,41 @@
+/**
+ * What instances that forward requests tell each other. Times are durations in milliseconds,
+ * because instances share no clock.
+ */
+namespace py instances
+
+/** Raised with every change that an older instance would misread. */
+const i16 PROTOCOL_VERSION = 1
+
+struct Instance {
+  1: string id,
+  2: string address,
+  3: i64 incarnation,
+  /** Time since the instance was last heard, by anyone. */
+  4: i32 age_ms,
+}
+
+struct Suspicion {
+  1: i64 fingerprint,
+  /** Calls of the request that crashed a server, as the sender saw it. */
+  2: i32 crashes,
+}
+
+/** A document as it was published; without a value it was removed. */
+struct Document {
+  1: string key,
+  2: i64 revision,
+  3: optional binary value,
+}
+
+/** Question and answer of one exchange. */
+struct Exchange {
+  1: i16 protocol,
+  2: Instance sender,
+  3: bool leaving,
+  4: list<Instance> instances,
+  5: list<Suspicion> suspicions,
+  6: i64 configuration_version,
+  7: bool wants_documents,
+  8: list<Document> documents,
+}
--- a/turmerictiller/platform/application.py
+++ b/turmerictiller/platform/application.py
@@ -18,6 +18,7 @@
 from turmerictiller.transport.http_client import ConnectionPool
 from turmerictiller.transport.http_server import HttpListener
 from turmerictiller.transport.messages import write_response
+from turmerictiller.transport.peer_link import PeerLink
 from turmerictiller.transport.shell import ForwardingShell
 from turmerictiller.util.prometheus import CONTENT_TYPE
 
@@ -52,6 +53,8 @@
         )
         store = Store(node.store.address, ConnectionPool(self.clock), self.clock)
         self.registry = Registry(store, self.clock, self.shell.dispatch, self.shell.log.write)
+        self.peers = PeerLink(self.shell, self.registry.documents, self.registry.on_peer_documents)
+        self.shell.ask_peer = self.peers.ask
         self._operators = [self._operator_listener(), self._operator_listener()]
 
     async def run(self) -> None:
@@ -67,6 +70,7 @@
             self._operators, (listen.ready, f"{host}:{self.metrics_port}"), strict=True
         ):
             await listener.open(address)
+        await self.peers.listener.open(self.shell.settings.peer_address)
         self.registry.start()
         fields = {"failure_domain": self.node.failure_domain, "address": listen.front}
         self.shell.log.write("started", fields, urgent=True)
@@ -75,6 +79,7 @@
         self.shell.log.write("stopped", {}, urgent=True)
         for listener in self._operators:
             listener.close()
+        self.peers.close()
         self.shell.close()
 
     def _operator_listener(self) -> HttpListener:
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from turmerictiller.forwarding.events import (
@@ -15,15 +15,16 @@
     ServersListed,
 )
 from turmerictiller.platform.documents import DocumentError, read_configuration, read_server
-from turmerictiller.platform.store import HistoryGoneError, StoreError
+from turmerictiller.platform.store import HistoryGoneError, Item, StoreError
+from turmerictiller.transport.peer_messages import Document
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from turmerictiller.clock import Clock
     from turmerictiller.forwarding.events import Event
     from turmerictiller.forwarding.model import ServerEntry
-    from turmerictiller.platform.store import Item, Store
+    from turmerictiller.platform.store import Store
 
 SERVERS = "servers/"
 CONFIGURATION = "op/config"
@@ -35,6 +36,7 @@
 WATCH_GAP_MS = 250.0
 LONGEST_WATCH_GAP_MS = 1_000.0
 QUIET_WATCH_MS = 1_000.0  # a watch that waited so long ends a series of changes
+MAX_REMOVED = 256  # removed entries that are told to other instances
 # The store holds the operator's and the servers' keys and no others.
 EVERYTHING = ""
 FIRST_RETRY_MS = 100.0
@@ -52,12 +54,51 @@
     clock: Clock
     dispatch: Callable[[Event], None]
     log: Callable[[str, dict[str, object], bool], None]
+    items_by_key: dict[str, Item] = field(default_factory=dict)
     _task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Begin to follow the store."""
         self._task = asyncio.get_running_loop().create_task(self._follow())
 
+    def documents(self) -> list[Document]:
+        """Return what was read, as it was published, for instances that can not read it."""
+        return [
+            Document(item.key, item.revision, item.value) for item in self.items_by_key.values()
+        ]
+
+    def on_peer_documents(self, documents: Sequence[Document]) -> None:
+        """Take over what another instance has read; newer revisions win."""
+        entries: list[ServerEntry] = []
+        for document in documents:
+            item = Item(document.key, document.revision, document.value)
+            known = self.items_by_key.get(item.key)
+            if known is not None and known.revision >= item.revision:
+                continue
+            self._keep(item)
+            if item.key == CONFIGURATION:
+                self._on_configuration(item)
+            elif item.value is None:
+                self._on_removed(item, from_peer=True)
+            elif (entry := self._entry(item)) is not None:
+                entries.append(entry)
+        # No entry is older than revision 0, so nothing counts as removed by this list.
+        if entries:
+            now = self.clock.now_ms()
+            self.dispatch(ServersListed(now, 0, tuple(entries), from_peer=True))
+
+    def _keep(self, item: Item) -> None:
+        """Keep an item for other instances, and removed ones as long as there is room."""
+        self.items_by_key[item.key] = item
+        removed = [key for key, kept in self.items_by_key.items() if kept.value is None]
+        for key in removed[:-MAX_REMOVED]:
+            del self.items_by_key[key]
+
+    def _on_removed(self, item: Item, from_peer: bool = False) -> None:
+        server_id = item.key.removeprefix(SERVERS)
+        now = self.clock.now_ms()
+        self.dispatch(ServerEntryRemoved(now, server_id, item.revision, from_peer))
+
     def close(self) -> None:
         """Stop following."""
         if self._task is not None:
@@ -94,6 +135,7 @@
     def _on_list(self, revision: int, items: list[Item]) -> None:
         entries: list[ServerEntry] = []
         unreadable_ids: set[str] = set()
+        self.items_by_key = {item.key: item for item in items}
         for item in items:
             if item.key == CONFIGURATION:
                 self._on_configuration(item)
@@ -107,15 +149,14 @@
         self.dispatch(ServersListed(now, revision, tuple(entries), frozenset(unreadable_ids)))
 
     def _on_change(self, item: Item) -> None:
-        now = self.clock.now_ms()
+        self._keep(item)
         if item.key == CONFIGURATION:
             self._on_configuration(item)
         elif item.key.startswith(SERVERS):
             if item.value is None:
-                server_id = item.key.removeprefix(SERVERS)
-                self.dispatch(ServerEntryRemoved(now, server_id, item.revision))
+                self._on_removed(item)
             elif (entry := self._entry(item)) is not None:
-                self.dispatch(ServerSeen(now, entry))
+                self.dispatch(ServerSeen(self.clock.now_ms(), entry))
 
     def _on_configuration(self, item: Item) -> None:
         if item.value is None:
--- a/turmerictiller/platform/settings.py
+++ b/turmerictiller/platform/settings.py
@@ -61,6 +61,11 @@
     limits: Limits
     bounds: Bounds
     store: Store = field(name="platform")
+    ip: Text
+    # Free ports for the system's own use, the same on all machines.
+    own_ports: Annotated[tuple[int, ...], Meta(min_length=1)] = field(name="portRange")
+    # Addresses of up to three machines of the system; only their hosts matter here.
+    seeds: tuple[str, ...] = ()
 
     def forwarding_settings(self, seed: int) -> ForwardingSettings:
         """Return the product's settings."""
@@ -68,6 +73,10 @@
             instance_id=self.instance_id,
             failure_domain=self.failure_domain,
             seed=seed,
+            peer_address=f"{self.ip}:{self.own_ports[0]}",
+            seed_addresses=tuple(
+                f"{seed.rpartition(':')[0]}:{self.own_ports[0]}" for seed in self.seeds
+            ),
             extra_ratio=self.bounds.extra_ratio,
             extra_slack=self.bounds.extra_slack,
             extra_window_ms=self.bounds.extra_window_s * 1000,
--- /dev/null
+++ b/turmerictiller/transport/peer_link.py
@@ -0,0 +1,113 @@
+"""Exchanges with other instances: thrift messages as bodies of HTTP requests."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from turmerictiller.errors import FrameError
+from turmerictiller.forwarding.events import PeerHeard
+from turmerictiller.forwarding.model import CallerLimits
+from turmerictiller.forwarding.peers import own_hello
+from turmerictiller.transport.http_client import ConnectionPool, Exchange
+from turmerictiller.transport.http_server import HttpListener
+from turmerictiller.transport.messages import write_response
+from turmerictiller.transport.peer_messages import read_exchange, write_exchange
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from turmerictiller.forwarding.effects import AskPeer
+    from turmerictiller.forwarding.peers import Hello
+    from turmerictiller.transport.http_server import ServerConnection
+    from turmerictiller.transport.messages import RawRequest, RawResponse
+    from turmerictiller.transport.peer_messages import Document
+    from turmerictiller.transport.shell import ForwardingShell
+
+TARGET = b"/exchange"
+ANSWER_TIMEOUT_MS = 800.0  # less than the time between two exchanges
+MAX_CONNECTIONS = 256
+# All documents of a deployment: a configuration of up to a megabyte and a few thousand entries.
+MAX_BODY_BYTES = 4_194_304
+
+
+@dataclass
+class PeerLink:
+    """The listener for other instances and the questions to them.
+
+    :param documents: what was published, for an instance that can not read it itself.
+    :param on_documents: called with the documents of another instance.
+    """
+
+    shell: ForwardingShell
+    documents: Callable[[], Sequence[Document]]
+    on_documents: Callable[[Sequence[Document]], None]
+    pool: ConnectionPool = field(init=False)
+    listener: HttpListener = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.pool = ConnectionPool(self.shell.clock)
+        self.listener = HttpListener(
+            self.shell.clock,
+            CallerLimits(max_body_bytes=MAX_BODY_BYTES),
+            self.shell.listener.errors,
+            self._on_request,
+            lambda connection: None,
+            MAX_CONNECTIONS,
+        )
+
+    def ask(self, effect: AskPeer) -> None:
+        """Ask another instance; a failure only shows by its silence."""
+        body = write_exchange(effect.hello, self._owed(effect.hello))
+        head = f"POST {TARGET.decode()} HTTP/1.1\r\nHost: {effect.address}\r\n"
+        data = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+        exchange = Exchange(data, lambda response: True, self._on_answer, self._on_failure)
+        self.pool.send(effect.address, exchange)
+        loop = asyncio.get_running_loop()
+        loop.call_later(ANSWER_TIMEOUT_MS / 1000, self._end, exchange)
+
+    def close(self) -> None:
+        """Close all connections to and from other instances."""
+        self.listener.close()
+        self.pool.close()
+
+    def _end(self, exchange: Exchange) -> None:
+        if not exchange.ended:
+            self.shell.state.counters["exchanges.timed_out"] += 1
+            self.pool.abort(exchange)
+
+    def _on_failure(self, failure: object, may_have_run: bool) -> None:
+        self.shell.state.counters["exchanges.failed"] += 1
+
+    def _on_answer(self, response: RawResponse) -> None:
+        if response.status == 200:
+            self._take(response.body)
+
+    def _on_request(self, connection: ServerConnection, raw: RawRequest) -> None:
+        hello = self._take(raw.body) if raw.target == TARGET else None
+        if hello is None:
+            connection.answer(write_response(400, b"Bad Request", [], b"", True), True)
+            return
+        body = write_exchange(own_hello(self.shell.state), self._owed(hello))
+        connection.answer(write_response(200, b"OK", [], body, False), False)
+
+    def _take(self, body: bytes) -> Hello | None:
+        try:
+            hello, documents = read_exchange(body)
+        except FrameError as error:
+            self.shell.state.counters["exchanges.malformed"] += 1
+            self.shell.log.write("exchange_malformed", {"error": str(error)[:200]})
+            return None
+        self.shell.dispatch(PeerHeard(self.shell.now_ms(), hello))
+        if documents:
+            self.on_documents(documents)
+        return hello
+
+    def _owed(self, hello: Hello) -> Sequence[Document]:
+        """Return the documents that another instance lacks; none if ``hello`` is this one's."""
+        state = self.shell.state
+        if hello.sender.id == state.settings.instance_id or state.configuration is None:
+            return ()
+        is_older = hello.version < state.configuration.version
+        return self.documents() if is_older or hello.wants_documents else ()
--- /dev/null
+++ b/turmerictiller/transport/peer_messages.py
@@ -0,0 +1,117 @@
+"""Thrift encoding of what instances tell each other, with checks of what is read."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
+
+from turmerictiller.errors import FrameError
+from turmerictiller.forwarding.peers import Hello, PeerEntry
+from turmerictiller.util.wire_checks import MAX_LIST_LENGTH, integer, ip_address, text
+from turmerictiller.wire.instances import constants, ttypes
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MAX_ID_CHARS = 200
+MAX_DOCUMENTS = 4_096
+# Ages and counts are at most this; larger ones are cut, because the wire holds 32 bits.
+MAX_SMALL = 2**31 - 1
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A document as it was published, or removed if there is no value."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+def write_exchange(hello: Hello, documents: Sequence[Document]) -> bytes:
+    """Return the bytes of a question or an answer."""
+    message = ttypes.Exchange(
+        protocol=constants.PROTOCOL_VERSION,
+        sender=_instance(hello.sender),
+        leaving=hello.leaving,
+        instances=[_instance(entry) for entry in hello.entries],
+        suspicions=[
+            ttypes.Suspicion(fingerprint=number, crashes=min(crashes, MAX_SMALL))
+            for number, crashes in hello.crashes_by_fingerprint.items()
+        ],
+        configuration_version=hello.version,
+        wants_documents=hello.wants_documents,
+        documents=[
+            ttypes.Document(key=item.key, revision=item.revision, value=item.value)
+            for item in documents
+        ],
+    )
+    buffer = TMemoryBuffer()
+    message.write(TBinaryProtocolAccelerated(buffer))
+    return bytes(buffer.getvalue())
+
+
+def read_exchange(data: bytes) -> tuple[Hello, list[Document]]:
+    """Read a question or an answer.
+
+    :raises FrameError: if it is malformed or of another version of the protocol.
+    """
+    message = ttypes.Exchange()
+    try:
+        message.read(TBinaryProtocolAccelerated(TMemoryBuffer(data)))
+    except (TException, EOFError, ValueError, TypeError, MemoryError, OverflowError) as error:
+        raise FrameError(f"not an exchange: {error!r}"[:200]) from None
+    if message.protocol != constants.PROTOCOL_VERSION:
+        raise FrameError(f"protocol {message.protocol!r} is not spoken here")
+    entries = [_entry(item) for item in _items(message.instances, MAX_LIST_LENGTH)]
+    crashes = {
+        integer(item.fingerprint, "fingerprint"): integer(item.crashes, "crashes")
+        for item in _items(message.suspicions, MAX_LIST_LENGTH)
+    }
+    hello = Hello(
+        _entry(message.sender),
+        bool(message.leaving),
+        tuple(entries),
+        crashes,
+        integer(message.configuration_version, "configuration_version"),
+        bool(message.wants_documents),
+    )
+    return hello, [_document(item) for item in _items(message.documents, MAX_DOCUMENTS)]
+
+
+def _instance(entry: PeerEntry) -> Any:
+    return ttypes.Instance(
+        id=entry.id,
+        address=entry.address,
+        incarnation=entry.incarnation,
+        age_ms=min(int(entry.age_ms), MAX_SMALL),
+    )
+
+
+def _entry(item: Any) -> PeerEntry:
+    if item is None:
+        raise FrameError("an instance is missing")
+    return PeerEntry(
+        text(item.id, "id", MAX_ID_CHARS),
+        ip_address(item.address, "address"),
+        integer(item.incarnation, "incarnation"),
+        float(integer(item.age_ms, "age_ms")),
+    )
+
+
+def _document(item: Any) -> Document:
+    value = item.value
+    if value is not None and not isinstance(value, bytes):
+        raise FrameError("a value is not binary")
+    key = text(item.key, "key", MAX_ID_CHARS)
+    return Document(key, integer(item.revision, "revision"), value)
+
+
+def _items(value: Any, most: int) -> list[Any]:
+    if not isinstance(value, list) or len(value) > most:
+        raise FrameError(f"not a list of at most {most} items")
+    return value
--- a/turmerictiller/transport/shell.py
+++ b/turmerictiller/transport/shell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -27,6 +28,9 @@
     from turmerictiller.transport.messages import RawRequest, RawResponse
 
 
+FINGERPRINT_BYTES = 7  # fits into a signed 64-bit number
+
+
 @dataclass(slots=True)
 class Call:
     """A request of a caller whose answer is due."""
@@ -40,12 +44,16 @@
 
 @dataclass
 class ForwardingShell:
-    """Sockets, timers and the state of one instance."""
+    """Sockets, timers and the state of one instance.
+
+    :param ask_peer: carries out questions to other instances.
+    """
 
     settings: ForwardingSettings
     dialect: Dialect
     clock: Clock
     max_connections: int
+    ask_peer: Callable[[effects.AskPeer], None] = field(default=lambda effect: None)
     log: DecisionLog = field(init=False)
     listener: HttpListener = field(init=False)
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
@@ -73,6 +81,7 @@
             effects.AbortAttempt: self._abort,
             effects.ForgetServer: lambda effect: self.pool.close_address(effect.address),
             effects.ProbeConnection: self._probe_connection,
+            effects.AskPeer: lambda effect: self.ask_peer(effect),
             effects.PassAnswer: self._pass_answer,
             effects.AnswerMerged: self._answer_merged,
             effects.Refuse: self._refuse,
@@ -146,7 +155,7 @@
         connection.call_id = call_id
         now = self.clock.now_ms()
         self._calls_by_id[call_id] = Call(connection, raw, request, arrived_at=now)
-        fingerprint = hash((raw.method, raw.target, raw.body))
+        fingerprint = _fingerprint(raw, request)
         self.dispatch(
             events.RequestArrived(
                 now,
@@ -275,3 +284,12 @@
 
     def _log_decision(self, effect: effects.LogDecision) -> None:
         self.log.write(effect.event, effect.fields, effect.urgent)
+
+
+def _fingerprint(raw: RawRequest, request: CallerRequest) -> int:
+    """Return a number that is equal for equal requests at every instance."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (raw.method, request.host.encode("latin-1"), raw.target, raw.body):
+        digest.update(part)
+        digest.update(b"\0")
+    return int.from_bytes(digest.digest(), "big")
