Scale watches and pauses with the time that the platform allows

Ruled out: fewer watching instances that tell the others (news through exchanges take some seconds for 68 machines, as long as the bound); stale reads. Change: a watch lasts one and a half times the shorter of the bounds for drains and configurations; the pause after changes is a sixth, growing to a third, and begins with a third after a list.

--- a/tests/platform/serving.py
+++ b/tests/platform/serving.py
@@ -37,6 +37,7 @@
 maxFds = 4100
 [bounds]
 drainMs = 3000
+applyMs = 3000
 graceS = {grace_s}
 budgetRatio = 0.2
 budgetWindowS = 10
--- a/turmerictiller/platform/application.py
+++ b/turmerictiller/platform/application.py
@@ -52,7 +52,13 @@
             max_connections=node.limits.max_descriptors - RESERVED_DESCRIPTORS,
         )
         store = Store(node.store.address, ConnectionPool(self.clock), self.clock)
-        self.registry = Registry(store, self.clock, self.shell.dispatch, self.shell.log.write)
+        self.registry = Registry(
+            store,
+            self.clock,
+            min(node.bounds.drain_ms, node.bounds.apply_ms),
+            self.shell.dispatch,
+            self.shell.log.write,
+        )
         self.peers = PeerLink(self.shell, self.registry.documents, self.registry.on_peer_documents)
         self.shell.ask_peer = self.peers.ask
         self._operators = [self._operator_listener(), self._operator_listener()]
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from turmerictiller.clock import Clock
+    from turmerictiller.clock import Clock, Millis
     from turmerictiller.forwarding.events import Event
     from turmerictiller.forwarding.model import ServerEntry
     from turmerictiller.platform.store import Store
@@ -30,11 +30,15 @@
 CONFIGURATION = "op/config"
 # A watch tells every change or fails, so this only limits how long a fault of the store could last.
 LIST_MS = 30_000.0
-# Calls are priced, and servers that start together would wake a watch one by one. So the pause after a
-# watch that told changes grows while changes keep coming. Its end leaves most of the time that the
-# platform allows for acting on a change, three seconds and more.
-WATCH_GAP_MS = 250.0
-LONGEST_WATCH_GAP_MS = 1_000.0
+# Calls are priced, so watches are long. One that ends too late is the only sign of a connection that
+# has gone silent; the platform's bounds begin to count four seconds and more after that, and one and a
+# half times the bound leaves time for a new connection and a list.
+WATCH_SHARE = 1.5
+# Servers that change together would wake a watch one by one. So there is a pause after a watch that
+# told changes, which grows while changes keep coming; both are shares of the time that the platform
+# allows for acting on a change.
+GAP_SHARE = 1 / 6
+LONGEST_GAP_SHARE = 1 / 3
 QUIET_WATCH_MS = 1_000.0  # a watch that waited so long ends a series of changes
 MAX_REMOVED = 256  # removed entries that are told to other instances
 # The store holds the operator's and the servers' keys and no others.
@@ -47,11 +51,13 @@
 class Registry:
     """The watch of one instance.
 
+    :param bound_ms: time within which a change must take effect.
     :param log: writes a line; takes its name, its fields and whether it is among the last dropped.
     """
 
     store: Store
     clock: Clock
+    bound_ms: Millis
     dispatch: Callable[[Event], None]
     log: Callable[[str, dict[str, object], bool], None]
     items_by_key: dict[str, Item] = field(default_factory=dict)
@@ -121,16 +127,19 @@
 
     async def _watch(self, revision: int) -> None:
         listed_at = self.clock.now_ms()
-        gap_ms = WATCH_GAP_MS
+        longest_ms = LONGEST_GAP_SHARE * self.bound_ms
+        # Servers that start together with this instance register one by one.
+        gap_ms = longest_ms
         while (asked_at := self.clock.now_ms()) - listed_at < LIST_MS:
-            revision, items = await self.store.watch(EVERYTHING, revision)
+            wait_ms = WATCH_SHARE * self.bound_ms
+            revision, items = await self.store.watch(EVERYTHING, revision, wait_ms)
             for item in items:
                 self._on_change(item)
             if self.clock.now_ms() - asked_at >= QUIET_WATCH_MS:
-                gap_ms = WATCH_GAP_MS
+                gap_ms = GAP_SHARE * self.bound_ms
             if items:
                 await asyncio.sleep(gap_ms / 1000)
-                gap_ms = min(2 * gap_ms, LONGEST_WATCH_GAP_MS)
+                gap_ms = min(2 * gap_ms, longest_ms)
 
     def _on_list(self, revision: int, items: list[Item]) -> None:
         entries: list[ServerEntry] = []
--- a/turmerictiller/platform/settings.py
+++ b/turmerictiller/platform/settings.py
@@ -40,6 +40,7 @@
     """Bounds that the platform judges by; its ``budget`` is that of extra attempts."""
 
     drain_ms: Positive = field(name="drainMs")
+    apply_ms: Positive = field(name="applyMs")
     grace_s: Positive = field(name="graceS")
     extra_ratio: NotNegative = field(name="budgetRatio")
     extra_window_s: Positive = field(name="budgetWindowS")
--- a/turmerictiller/platform/store.py
+++ b/turmerictiller/platform/store.py
@@ -21,10 +21,6 @@
 
 # The store answers in 4 ms, and up to sixty times as slowly at bad times.
 CALL_TIMEOUT_MS = 1_000.0
-# A connection that has gone silent shows only by a watch that does not end in time. Calls are priced;
-# four seconds and the margin leave time to act within the platform's bounds of three seconds, which
-# begin to count four seconds after a connection went silent.
-WATCH_MS = 4_000.0
 WATCH_MARGIN_MS = 500.0
 HISTORY_GONE = 410
 
@@ -77,13 +73,13 @@
                 return revision, items
             after = new[-1].key
 
-    async def watch(self, prefix: str, revision: int) -> tuple[int, list[Item]]:
+    async def watch(self, prefix: str, revision: int, wait_ms: Millis) -> tuple[int, list[Item]]:
         """Wait for changes after a revision; return them and the revision to go on from.
 
         :raises HistoryGoneError: if the changes have to be listed instead.
         """
-        query = f"prefix={quote(prefix, safe='')}&after={revision}&waitMs={WATCH_MS:.0f}"
-        page = await self._get(f"/-/kv-watch?{query}", WATCH_MS + WATCH_MARGIN_MS)
+        query = f"prefix={quote(prefix, safe='')}&after={revision}&waitMs={wait_ms:.0f}"
+        page = await self._get(f"/-/kv-watch?{query}", wait_ms + WATCH_MARGIN_MS)
         items = [_item(row) for row in _rows(page, "events")]
         return max(revision, _integer(page, "currentRev")), items
 
