Explain a request from its id, and log what decided it

Cause: lines said that a shard was missing, not what was believed of its servers, and nothing put the lines of several instances together. Ruled out: eliot for these lines (existing limiter writes 20 a second; a line by eliot costs some 50 times as much as by orjson, so ordinary requests could have none). Change: a line about a missing part names its servers, each with its state and the age of what is known; hedges name the usual time and the budget; 'turmerictiller explain ID [LOG...]' tells the story with the beliefs that were in force; 'turmerictiller serve' starts an instance. The log is tested with a reader that never reads and with ten times its allowed lines.

--- /dev/null
+++ b/tests/transport/test_decision_log.py
@@ -0,0 +1,116 @@
+"""Tests of the log of decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from typing import TYPE_CHECKING
+
+import orjson
+
+from turmerictiller.clock import Clock
+from turmerictiller.transport.decision_log import (
+    MAX_BUFFER_BYTES,
+    MAX_LINES_PER_S,
+    MAX_URGENT_LINES_PER_S,
+    DecisionLog,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class FakeClock(Clock):
+    """A clock that a test sets."""
+
+    now = 5_000.0
+
+    def now_ms(self) -> float:
+        return self.now
+
+
+def play(use: Callable[[DecisionLog, FakeClock], None]) -> tuple[DecisionLog, int]:
+    """Use a log whose reader never reads; return it and the end that could be read."""
+    reader, writer = os.pipe()
+
+    async def run() -> DecisionLog:
+        clock = FakeClock()
+        log = DecisionLog(clock, "e1", writer)
+        use(log, clock)
+        log.flush()
+        return log
+
+    log = asyncio.run(run())
+    os.close(writer)
+    return log, reader
+
+
+def read_lines(reader: int) -> list[dict[str, object]]:
+    """Return all lines that were written."""
+    with os.fdopen(reader, "rb") as file:
+        return [orjson.loads(line) for line in file.read().splitlines()]
+
+
+def test_reader_that_never_reads_blocks_nothing_and_memory_stays_bounded() -> None:
+    """Guards against a stuck log collector that stops an instance."""
+
+    def use(log: DecisionLog, clock: FakeClock) -> None:
+        for _ in range(200):
+            clock.now += 1_000
+            for _ in range(100):
+                log.write("request_ended", {"text": "x" * 200})
+            log.flush()
+        assert len(log._buffer) <= MAX_BUFFER_BYTES
+
+    began = time.monotonic()
+    log, reader = play(use)
+    assert time.monotonic() - began < 5
+    assert log.dropped_total > 10_000
+    os.close(reader)
+
+
+def test_ten_times_the_usual_lines_are_dropped_and_counted() -> None:
+    """Guards against logs that cost more than the requests, and against silent loss."""
+
+    def use(log: DecisionLog, clock: FakeClock) -> None:
+        for _ in range(10 * MAX_LINES_PER_S):
+            log.write("request_ended", {})
+        clock.now += 1_000
+        log.write("request_ended", {})
+
+    log, reader = play(use)
+    lines = read_lines(reader)
+    assert len(lines) == MAX_LINES_PER_S + 2
+    assert lines[-2]["event"] == "lines_dropped"
+    assert lines[-2]["lines"] == 9 * MAX_LINES_PER_S
+    assert log.dropped_total == 9 * MAX_LINES_PER_S
+
+
+def test_changes_of_belief_are_dropped_last() -> None:
+    """Guards against a flood of requests that hides what an instance believed."""
+
+    def use(log: DecisionLog, clock: FakeClock) -> None:
+        for _ in range(MAX_LINES_PER_S + 50):
+            log.write("request_ended", {})
+        for _ in range(MAX_URGENT_LINES_PER_S):
+            log.write("server_ejected", {}, urgent=True)
+
+    _, reader = play(use)
+    events = [line["event"] for line in read_lines(reader)]
+    assert events.count("server_ejected") == MAX_URGENT_LINES_PER_S - MAX_LINES_PER_S
+
+
+def test_end_of_the_reader_is_survived() -> None:
+    """Guards against an instance that ends with its log collector."""
+    reader, writer = os.pipe()
+    os.close(reader)
+
+    async def run() -> None:
+        log = DecisionLog(FakeClock(), "e1", writer)
+        log.write("request_ended", {})
+        log.flush()
+        assert log.dropped_total == 1
+
+    asyncio.run(run())
+    os.close(writer)
--- a/turmerictiller/cmd/main.py
+++ b/turmerictiller/cmd/main.py
@@ -7,9 +7,11 @@
 from turmerictiller.cmd import (
     check_note,
     entry,
+    explain,
     replay,
     seal_note,
     search,
+    serve,
     state,
     trace,
     version,
@@ -22,7 +24,18 @@
     add_completion=False,
     pretty_exceptions_show_locals=False,
 )
-for command in (entry, check_note, seal_note, state, search, trace, replay, version):
+for command in (
+    entry,
+    serve,
+    check_note,
+    seal_note,
+    state,
+    search,
+    explain,
+    trace,
+    replay,
+    version,
+):
     command.register(app)
 
 
--- /dev/null
+++ b/turmerictiller/forwarding/describe.py
@@ -0,0 +1,51 @@
+"""What an instance believes, as short texts for log lines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.limits import connection_limit, has_room
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.state import Part, Request, ServerState, State
+
+MAX_SERVERS = 6  # per part in one line
+
+
+def describe_missing(state: State, request: Request) -> list[dict[str, object]]:
+    """Return why each part of a request is missing, and what is believed of its servers."""
+    return [
+        {
+            "service": part.service,
+            "reason": part.failed or "unanswered",
+            "asked": part.tried,
+            "servers": _describe_servers(state, part),
+        }
+        for part in request.parts
+        if part.answer is None
+    ]
+
+
+def _describe_servers(state: State, part: Part) -> dict[str, str]:
+    service = state.services_by_name.get(part.service)
+    servers = list(service.servers_by_id.values()) if service else []
+    return {server.entry.id: describe_server(state, server) for server in servers[:MAX_SERVERS]}
+
+
+def describe_server(state: State, server: ServerState) -> str:
+    """Return what decides whether a server may get a request, with its age."""
+    now = state.now
+    if server.removed_at is not None:
+        return f"entry removed {now - server.removed_at:.0f} ms ago"
+    if server.draining_at is not None:
+        return f"draining for {now - server.draining_at:.0f} ms"
+    if now < server.ejected_until:
+        kind = "unreachable" if server.unreachable else "failing"
+        failed_ms = now - server.failed_at
+        return f"{kind}, {server.failures} failures, the last {failed_ms:.0f} ms ago"
+    service = state.services_by_name[server.entry.service]
+    most = connection_limit(state, service)
+    if not has_room(server, most):
+        oldest_ms = now - next(iter(server.outstanding.values()))
+        return f"no room, {len(server.outstanding)} unanswered, the oldest for {oldest_ms:.0f} ms"
+    return f"usable, {server.slowness:.1f} times the usual time"
--- a/turmerictiller/forwarding/requests.py
+++ b/turmerictiller/forwarding/requests.py
@@ -20,6 +20,7 @@
     observe_no_answer,
     observe_not_run,
 )
+from turmerictiller.forwarding.describe import describe_missing
 from turmerictiller.forwarding.effects import (
     AbortAttempt,
     AnswerMerged,
@@ -248,6 +249,7 @@
         "server": attempt.server_id,
         "reason": reason,
         "sent_again": sent,
+        "may_have_run": bool(part.runs),
     }
     state.out.append(LogDecision("attempt_lost", fields))
     if sent or part.attempt_ids:
@@ -315,6 +317,9 @@
         "service": part.service,
         "server": part.tried[-1],
         "after_ms": round(state.now - request.arrived_at, 1),
+        "usual_ms": round(route_times(state, request.route.name).hedge_ms, 1),
+        "extra_attempts": service.extra_attempts.value(state.now),
+        "first_attempts": service.first_attempts.value(state.now),
     }
     state.out.append(LogDecision("hedged", fields))
     return True
@@ -491,13 +496,11 @@
         "version": request.version,
         "outcome": outcome,
         "ms": round(state.now - request.arrived_at, 1),
+        "target_ms": request.route.target_ms,
+        "budget_ms": round(request.deadline_at - request.arrived_at),
     }
     if request.route.shards:
         fields["parts"] = f"{request.included}/{len(request.parts)}"
     if request.is_unusual:
-        fields["missing"] = [
-            {"service": part.service, "servers": part.tried, "reason": part.failed or "unanswered"}
-            for part in request.parts
-            if part.answer is None
-        ]
+        fields["missing"] = describe_missing(state, request)
     state.out.append(LogDecision("request_ended", fields, urgent=outcome != "answered"))
