Add a randomized fault soak of real processes

Change: make soak runs three instances, 15 servers and a store as processes, a loopback proxy before each server, and signals; callers keep their connections and check every answer; servers' runs and instances' logs are checked at the end. A seeded run of six seconds is part of the tests.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements.stamp
 
-.PHONY: setup format lint types test demo measure load binary test-binary wire clean
+.PHONY: setup format lint types test demo measure load soak binary test-binary wire clean
 
 setup: $(STAMP)
 
@@ -13,12 +13,12 @@
 	touch $@
 
 format: setup
-	$(PYTHON) -m black turmerictiller standins bench tests
-	$(PYTHON) -m ruff check --fix turmerictiller standins bench tests
+	$(PYTHON) -m black turmerictiller standins bench soak tests
+	$(PYTHON) -m ruff check --fix turmerictiller standins bench soak tests
 
 lint: setup
-	$(PYTHON) -m black --check turmerictiller standins bench tests
-	$(PYTHON) -m ruff check turmerictiller standins bench tests
+	$(PYTHON) -m black --check turmerictiller standins bench soak tests
+	$(PYTHON) -m ruff check turmerictiller standins bench soak tests
 
 types: setup
 	$(PYTHON) -m mypy
@@ -35,6 +35,10 @@
 load: setup
 	$(PYTHON) -m bench.load $(ARGS)
 
+# make soak ARGS="--seed 1 --seeds 10 --seconds 15"
+soak: setup
+	$(PYTHON) -m soak.run $(ARGS)
+
 # Only pinned packages go into the file. Without debug symbols it takes half the memory, because
 # instances without disks unpack it under /dev/shm.
 binary: setup
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes, with faults from outside them."""
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -12,6 +12,7 @@
 import hashlib
 import json
 import random
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -56,6 +57,7 @@
     behaviour: str = "ok"
     share: float = 1.0
     draining: bool = False
+    tell_runs: bool = False
     incarnation: int = 1
     ran: Counter[str] = field(default_factory=Counter)
     paths_by_request: dict[str, str] = field(default_factory=dict)
@@ -140,6 +142,8 @@
             self.waiting -= 1
             self.ran[request_id] += 1
             self.paths_by_request[request_id] = path
+            if self.tell_runs:
+                print(f"{time.time():.3f} {self.id} {request_id} {path}", flush=True)
             self.last_run_at = asyncio.get_running_loop().time()
             await asyncio.sleep((SLOW_MS if behaviour == "slow" else self.work_ms) / 1000)
 
@@ -220,8 +224,13 @@
     """Run servers given as ``ID=SERVICE=IP:PORT`` until the process is ended."""
     parser = argparse.ArgumentParser(description=main.__doc__)
     parser.add_argument("server", nargs="+")
-    given = [text.split("=") for text in parser.parse_args().server]
-    servers = [ShardServer(server_id, service) for server_id, service, _ in given]
+    parser.add_argument("--tell-runs", action="store_true", help="print a line for each run")
+    options = parser.parse_args()
+    given = [text.split("=") for text in options.server]
+    servers = [
+        ShardServer(server_id, service, tell_runs=options.tell_runs)
+        for server_id, service, _ in given
+    ]
     asyncio.run(_run_all(servers, [address for _, _, address in given]))
 
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,21 @@
+"""A short run of the soak, with the seeds that once broke a promise."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from soak.run import soak
+
+SECONDS = 6.0
+# The first seed stands for a run in CI; others are added with the cause of their failure.
+SEEDS = (1,)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_while_faults_overlap(seed: int) -> None:
+    """Guards against promises that break only when faults of real processes come together."""
+    played = asyncio.run(soak(seed, SECONDS))
+    assert played.book.problems == []
+    assert played.book.statuses["search 200"] > 100
