Keep the watch of the store alive after an unforeseen error

Cause: found by reading: an error other than a failed read ended the task that follows the store, without a line, so that the instance would have served with what it knew for the rest of its life. Ruled out: catching errors per document (those that are foreseen are handled there already). Change: such an error is logged as registry_fault, counts as a lost registry, and the store is listed again. Two imports and a comment are tidied.

--- a/turmerictiller/forwarding/endings.py
+++ b/turmerictiller/forwarding/endings.py
@@ -8,10 +8,7 @@
 from turmerictiller.errors import Ran, Refusal, RefusalType
 from turmerictiller.forwarding.admission import no_server
 from turmerictiller.forwarding.attempts import end_attempt
-from turmerictiller.forwarding.choice import (
-    observe_failure,
-    observe_no_answer,
-)
+from turmerictiller.forwarding.choice import observe_failure, observe_no_answer
 from turmerictiller.forwarding.describe import describe_missing
 from turmerictiller.forwarding.effects import (
     AbortAttempt,
@@ -25,15 +22,14 @@
 from turmerictiller.forwarding.waiting import usable_in_ms
 
 if TYPE_CHECKING:
-    from turmerictiller.forwarding.events import (
-        CallerLeft,
-    )
+    from turmerictiller.forwarding.events import CallerLeft
     from turmerictiller.forwarding.state import State
 
 # A caller that has left may not keep servers at work for half a second.
 CALLER_LEFT_MS = 200.0
 # An attempt that lost against a hedge is ended after this time, longer than a server's usual pause.
 ABANDON_MS = 400.0
+# Where no server is known that could come back: a new one is seen within about a second.
 UNREACHABLE_RETRY_MS = 500.0
 LEAST_RETRY_MS = 20.0  # a caller that comes back at once meets the same queues
 
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -121,9 +121,16 @@
             except HistoryGoneError:
                 self.log("history_gone", {}, True)
             except StoreError as error:
-                self.dispatch(RegistryLost(self.clock.now_ms(), str(error)))
-                await asyncio.sleep(random.uniform(0.5, 1.0) * retry_ms / 1000)
+                await self._pause(str(error), retry_ms)
                 retry_ms = min(2 * retry_ms, LONGEST_RETRY_MS)
+            except Exception as error:
+                # A fault in one document must not end the watch for the life of the process.
+                self.log("registry_fault", {"error": repr(error)[:300]}, True)
+                await self._pause("fault", LONGEST_RETRY_MS)
+
+    async def _pause(self, reason: str, retry_ms: Millis) -> None:
+        self.dispatch(RegistryLost(self.clock.now_ms(), reason))
+        await asyncio.sleep(random.uniform(0.5, 1.0) * retry_ms / 1000)
 
     async def _watch(self, revision: int) -> None:
         listed_at = self.clock.now_ms()
