--- a/bench/booking_desk.py
+++ b/bench/booking_desk.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from standins.upstream import documents
-from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
-from turmerictiller.notes import check_note, seal_note
+from turmerictiller.core.configuration.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.core.configuration.notes import check_note, seal_note
 from turmerictiller.util.canonical import snapshot_name
 
 FRONT = "booking"
--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -5,11 +5,12 @@
 import time
 
 from bench.series import Series, traced_bytes
-from turmerictiller import effects, events, frames
+from turmerictiller.borders.peers import frames
 from turmerictiller.config import load_settings
-from turmerictiller.gossip_model import GossipMessage, Member, PeerStatus
-from turmerictiller.reducer import reduce
-from turmerictiller.state import State, new_state
+from turmerictiller.core import effects, events
+from turmerictiller.core.peers.gossip_model import GossipMessage, Member, PeerStatus
+from turmerictiller.core.reducer import reduce
+from turmerictiller.core.state import State, new_state
 
 MEMBERS = (10, 100, 300, 650)
 SAMPLE = 8  # members in one message
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
-from turmerictiller.notes import seal_note
+from turmerictiller.core.configuration.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.core.configuration.notes import seal_note
 from turmerictiller.util.canonical import snapshot_name
 
 SHARDS_PER_SERVICE = 2
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -8,16 +8,16 @@
 from typing import TYPE_CHECKING
 
 from bench.deployments import shard_map
-from turmerictiller import effects, events
-from turmerictiller.events import FailureKind, UpstreamStatus
-from turmerictiller.reducer import reduce
+from turmerictiller.core import effects, events
+from turmerictiller.core.events import FailureKind, UpstreamStatus
+from turmerictiller.core.reducer import reduce
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from bench.deployments import FrontShape, Network
     from bench.virtual_time import Clockwork
-    from turmerictiller.state import State
+    from turmerictiller.core.state import State
 
 LOAD_REPORT_MS = 1_000.0
 QUEUE_PER_SLOT = 5
--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -16,7 +16,8 @@
     UpstreamAnswer,
 )
 from turmerictiller.forwarding.model import Configuration, Route, ServerEntry, Service
-from turmerictiller.forwarding.peers import PeerState, own_hello
+from turmerictiller.forwarding.peer_model import PeerState
+from turmerictiller.forwarding.peers import own_hello
 from turmerictiller.forwarding.reducer import reduce
 from turmerictiller.forwarding.settings import ForwardingSettings
 from turmerictiller.forwarding.state import State, new_state
--- a/bench/load_fleet.py
+++ b/bench/load_fleet.py
@@ -14,8 +14,8 @@
 
 from bench.booking_desk import DOMAINS
 from bench.processes import Processes, free_addresses
-from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
-from turmerictiller.notes import seal_note
+from turmerictiller.core.configuration.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.core.configuration.notes import seal_note
 
 FRONT = "booking"
 SHARDS_PER_SERVICE = 4
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -10,24 +10,24 @@
 from typing import TYPE_CHECKING, Any
 from unittest.mock import patch
 
-from turmerictiller.attempts import start_attempt
-from turmerictiller.reducer import HANDLER_BY_TIMER
-from turmerictiller.routing import servers_with
-from turmerictiller.state import TimerKind
+from turmerictiller.core.reducer import HANDLER_BY_TIMER
+from turmerictiller.core.servers.attempts import start_attempt
+from turmerictiller.core.servers.routing import servers_with
+from turmerictiller.core.state import TimerKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterator
 
     from bench.world import World
-    from turmerictiller.hedging import HedgeKey
-    from turmerictiller.state import Search, ServerState, ServicePart, State
+    from turmerictiller.core.searches.hedging import HedgeKey
+    from turmerictiller.core.state import Search, ServerState, ServicePart, State
 
     Choose = Callable[[State, str, str | None, Container[str], str], ServerState | None]
 
 FIXED_HEDGE_MS = 40.0
 LIVE_INSTANCES = (
-    "turmerictiller.limits.live_instances",
-    "turmerictiller.admission.live_instances",
+    "turmerictiller.core.servers.limits.live_instances",
+    "turmerictiller.core.searches.admission.live_instances",
 )
 UNBOUNDED = 1_000_000
 
@@ -57,7 +57,9 @@
                 stack.enter_context(patch(path, function))
             if self.fixed_hedge_ms is not None:
                 start = _start_with_fixed_hedge(self.fixed_hedge_ms)
-                stack.enter_context(patch("turmerictiller.parts.start_attempt", start))
+                stack.enter_context(
+                    patch("turmerictiller.core.searches.parts.start_attempt", start)
+                )
                 handlers = {TimerKind.HEDGE: _hedge}
                 stack.enter_context(patch.dict(HANDLER_BY_TIMER, handlers))
             yield
@@ -129,18 +131,18 @@
 
 def _choose_with(choose: Choose) -> dict[str, Any]:
     return {
-        "turmerictiller.attempts.choose_server": choose,
-        "turmerictiller.attempts.choose_probe": lambda state, service, snapshot: None,
-        "turmerictiller.parts.plan_hedge": lambda state, search, part: None,
-        "turmerictiller.searches.should_stop": lambda state, search: False,
+        "turmerictiller.core.servers.attempts.choose_server": choose,
+        "turmerictiller.core.servers.attempts.choose_probe": lambda state, service, snapshot: None,
+        "turmerictiller.core.searches.parts.plan_hedge": lambda state, search, part: None,
+        "turmerictiller.core.searches.searches.should_stop": lambda state, search: False,
     }
 
 
 def _without_limits(choose: Choose) -> dict[str, Any]:
     return {
         **_choose_with(choose),
-        "turmerictiller.searches.refuse_early": lambda state, search: None,
-        "turmerictiller.searches.may_retry": lambda state, part, kind: True,
+        "turmerictiller.core.searches.searches.refuse_early": lambda state, search: None,
+        "turmerictiller.core.searches.searches.may_retry": lambda state, part, kind: True,
     }
 
 
--- a/bench/record_cost.py
+++ b/bench/record_cost.py
@@ -11,15 +11,15 @@
 from hdrh.histogram import HdrHistogram
 
 from tests.reducing import Harness
-from turmerictiller import effects
-from turmerictiller.codec import dumps
-from turmerictiller.reducer import reduce
-from turmerictiller.trace import Trace, reduce_recorded
+from turmerictiller.core import effects
+from turmerictiller.core.reducer import reduce
+from turmerictiller.recording.codec import dumps
+from turmerictiller.recording.trace import Trace, reduce_recorded
 from turmerictiller.util.series import DIGITS, MAX_UNITS, Series, record
 
 if TYPE_CHECKING:
-    from turmerictiller.effects import Effect
-    from turmerictiller.events import Event
+    from turmerictiller.core.effects import Effect
+    from turmerictiller.core.events import Event
 
 SERVICES = 10
 SEARCHES = 1_000
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from turmerictiller import events
+from turmerictiller.core import events
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,12 +20,12 @@
 
 from bench.control_slopes import control_series
 from bench.series import Series, report, traced_bytes
-from turmerictiller import effects, events
 from turmerictiller.config import load_settings
-from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
-from turmerictiller.notes import check_note, seal_note
-from turmerictiller.reducer import reduce
-from turmerictiller.state import State, new_state
+from turmerictiller.core import effects, events
+from turmerictiller.core.configuration.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.core.configuration.notes import check_note, seal_note
+from turmerictiller.core.reducer import reduce
+from turmerictiller.core.state import State, new_state
 from turmerictiller.util.canonical import canonical_json, snapshot_name
 
 SERVERS_PER_SERVICE = 3
--- a/bench/world.py
+++ b/bench/world.py
@@ -10,9 +10,9 @@
 from bench.deployments import DEADLINE_MS, Network, note_document, shard_map, snapshot
 from bench.fakes import Delivery, FakeInstance, FakeServer
 from bench.virtual_time import Clockwork
-from turmerictiller import effects, events
 from turmerictiller.config import load_settings
-from turmerictiller.state import new_state
+from turmerictiller.core import effects, events
+from turmerictiller.core.state import new_state
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/tests/borders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sockets."""
--- a/tests/test_caller_bodies.py
+++ b/tests/borders/callers/test_bodies.py
@@ -10,15 +10,15 @@
 from hypothesis import strategies as st
 
 from tests.serving import post, read_answer, serving
+from turmerictiller.core.events import RunArrived, TicketRequested
+from turmerictiller.core.reducer import HANDLER_BY_EVENT
+from turmerictiller.core.searches.searches import refuse
 from turmerictiller.errors import Refusal, RefusalType
-from turmerictiller.events import RunArrived, TicketRequested
-from turmerictiller.reducer import HANDLER_BY_EVENT
-from turmerictiller.searches import refuse
 
 if TYPE_CHECKING:
     import pytest
 
-    from turmerictiller.state import State
+    from turmerictiller.core.state import State
 
 FRONT = "/v1/fronts/booking"
 NUMBERS = st.floats() | st.integers() | st.sampled_from([10**400, -(2**64), 2**63])
--- a/tests/test_callers.py
+++ b/tests/borders/callers/test_server.py
@@ -10,9 +10,10 @@
 import pytest
 
 from tests.serving import Served, on_instance, post, read_answer, search, until
-from turmerictiller import application, callers
+from turmerictiller.borders import application
+from turmerictiller.borders.callers import server as callers
+from turmerictiller.core.events import SearchArrived
 from turmerictiller.errors import HTTP_STATUS_BY_REFUSAL, RefusalType
-from turmerictiller.events import SearchArrived
 
 SEARCH = "/v1/fronts/booking/search"
 LENGTH = f"POST {SEARCH} HTTP/1.1\r\nHost: x\r\nContent-Length: ".encode()
--- /dev/null
+++ b/tests/borders/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the border to operators."""
--- a/tests/test_metrics.py
+++ b/tests/borders/operators/test_metrics.py
@@ -8,9 +8,8 @@
 import pytest
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
-from turmerictiller.exposition import exposition
-from turmerictiller.metrics import (
+from turmerictiller.borders.operators.exposition import exposition
+from turmerictiller.borders.operators.metrics import (
     OTHER,
     WINDOW_MS,
     Metrics,
@@ -18,7 +17,8 @@
     observe_before,
     observe_effects,
 )
-from turmerictiller.trace import Trace
+from turmerictiller.core import effects, events
+from turmerictiller.recording.trace import Trace
 from turmerictiller.util.prometheus import escape
 from turmerictiller.util.series import record
 
--- a/tests/test_operators.py
+++ b/tests/borders/operators/test_server.py
@@ -9,14 +9,14 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from tests.reducing import Harness
-from turmerictiller import events
-from turmerictiller.dump_searches import MAX_SHOWN
-from turmerictiller.exposition import exposition
-from turmerictiller.metrics import Metrics
-from turmerictiller.operators import OperatorViews, operator_application
-from turmerictiller.replay import replay
-from turmerictiller.state_dump import dump_state, health
-from turmerictiller.trace import Trace, dump_trace
+from turmerictiller.borders.operators.dump_searches import MAX_SHOWN
+from turmerictiller.borders.operators.exposition import exposition
+from turmerictiller.borders.operators.metrics import Metrics
+from turmerictiller.borders.operators.server import OperatorViews, operator_application
+from turmerictiller.borders.operators.state_dump import dump_state, health
+from turmerictiller.core import events
+from turmerictiller.recording.replay import replay
+from turmerictiller.recording.trace import Trace, dump_trace
 
 
 def read(harness: Harness, path: str) -> tuple[int, bytes]:
--- a/tests/test_peers.py
+++ b/tests/borders/peers/test_client.py
@@ -10,12 +10,13 @@
 
 import pytest
 
-from turmerictiller import effects, events, frames
+from turmerictiller.borders.peers import frames
+from turmerictiller.borders.peers.client import Peers
+from turmerictiller.borders.peers.connection import MAX_UNSENT_BYTES
 from turmerictiller.clock import Clock
 from turmerictiller.config import load_settings
-from turmerictiller.gossip_model import GossipMessage, Member, PeerStatus
-from turmerictiller.peer_connection import MAX_UNSENT_BYTES
-from turmerictiller.peers import Peers
+from turmerictiller.core import effects, events
+from turmerictiller.core.peers.gossip_model import GossipMessage, Member, PeerStatus
 
 SENDER = Member("e9", "z9", 1, "127.0.0.1:1", "pikine", PeerStatus.READY)
 LONG_MS = 60_000.0
--- a/tests/test_frames.py
+++ b/tests/borders/peers/test_frames.py
@@ -11,15 +11,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from turmerictiller import frames
-from turmerictiller.errors import FrameError
-from turmerictiller.gossip_model import (
+from turmerictiller.borders.peers import frames
+from turmerictiller.core.peers.gossip_model import (
     DrainingServer,
     GossipMessage,
     Member,
     PeerStatus,
     QuarantineEntry,
 )
+from turmerictiller.errors import FrameError
 
 LIMIT = 1_000_000
 SENDER = Member("e1", "a" * 32, 7, "127.0.0.1:8081", "plateau", PeerStatus.READY)
--- a/tests/test_platform_client.py
+++ b/tests/borders/test_platform_client.py
@@ -13,11 +13,11 @@
 from hypothesis import strategies as st
 
 from tests.reducing import Harness
+from turmerictiller.borders.platform_client import WATCH_MS, PlatformClient
 from turmerictiller.clock import Clock
 from turmerictiller.config import Settings
+from turmerictiller.core.events import Event, NoteSeen, PlatformFailed
 from turmerictiller.errors import ConfigError
-from turmerictiller.events import Event, NoteSeen, PlatformFailed
-from turmerictiller.platform_client import WATCH_MS, PlatformClient
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/tests/test_platform_reads.py
+++ b/tests/borders/test_platform_reads.py
@@ -8,9 +8,9 @@
 
 from standins.platform import Platform, application
 from tests.reducing import Harness
+from turmerictiller.borders.platform_client import PlatformClient
 from turmerictiller.clock import Clock
-from turmerictiller.events import Event, NoteSeen, PlatformFailed
-from turmerictiller.platform_client import PlatformClient
+from turmerictiller.core.events import Event, NoteSeen, PlatformFailed
 
 
 def first_event(value: object) -> Event:
--- a/tests/test_upstreams.py
+++ b/tests/borders/upstreams/test_client.py
@@ -10,10 +10,10 @@
 import pytest
 
 from tests.reducing import Harness
+from turmerictiller.borders.upstreams.client import UpstreamClient, parse_search_answer
 from turmerictiller.clock import Clock
-from turmerictiller.effects import SendRun
-from turmerictiller.events import AttemptFailed, Event, FailureKind
-from turmerictiller.upstreams import UpstreamClient, parse_search_answer
+from turmerictiller.core.effects import SendRun
+from turmerictiller.core.events import AttemptFailed, Event, FailureKind
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- /dev/null
+++ b/tests/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
--- a/tests/test_cmd.py
+++ b/tests/cmd/test_main.py
@@ -16,10 +16,10 @@
 from typer.testing import CliRunner
 
 from tests.reducing import definitions, first_note
-from turmerictiller import effects, events
-from turmerictiller.caller_answers import search_body
+from turmerictiller.borders.callers.answers import search_body
 from turmerictiller.cmd import http
 from turmerictiller.cmd.main import app
+from turmerictiller.core import effects, events
 
 runner = CliRunner()
 
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of core."""
--- a/tests/test_notes_in_force.py
+++ b/tests/core/configuration/test_notes_in_force.py
@@ -15,9 +15,9 @@
 
 from tests.fleet import Fleet, next_note
 from tests.reducing import Harness, first_note
-from turmerictiller import effects, events
-from turmerictiller.gossip_model import GossipMessage, Member, PeerStatus
-from turmerictiller.state_dump import dump_state
+from turmerictiller.borders.operators.state_dump import dump_state
+from turmerictiller.core import effects, events
+from turmerictiller.core.peers.gossip_model import GossipMessage, Member, PeerStatus
 from turmerictiller.util.canonical import digest
 
 SIZE = 4
--- /dev/null
+++ b/tests/core/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of other entry instances."""
--- a/tests/test_peer_membership.py
+++ b/tests/core/peers/test_peer_membership.py
@@ -9,10 +9,11 @@
 from hypothesis import strategies as st
 
 from tests.reducing import Harness
-from turmerictiller import effects, events, frames
-from turmerictiller.gossip_model import DrainingServer, GossipMessage, Member, PeerStatus
-from turmerictiller.limits import live_instances
-from turmerictiller.quarantine import Loss, Suspect
+from turmerictiller.borders.peers import frames
+from turmerictiller.core import effects, events
+from turmerictiller.core.peers.gossip_model import DrainingServer, GossipMessage, Member, PeerStatus
+from turmerictiller.core.servers.limits import live_instances
+from turmerictiller.core.servers.suspects import Loss, Suspect
 
 SERVER = "jobs-0-s0"
 
--- a/tests/test_admission.py
+++ b/tests/core/searches/test_admission.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
-from turmerictiller.admission import predicted_wait_ms
+from turmerictiller.core import effects, events
+from turmerictiller.core.fronts import Priority
+from turmerictiller.core.searches.admission import predicted_wait_ms
 from turmerictiller.errors import Ran, RefusalType
-from turmerictiller.fronts import Priority
 
 ONE_CALL_PER_SERVER = 0.04
 LONG_MS = 5_000.0
--- a/tests/test_early_answers.py
+++ b/tests/core/searches/test_early_answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tests.reducing import Harness
-from turmerictiller import effects
+from turmerictiller.core import effects
 
 SERVICES = 10
 
--- a/tests/test_hedging.py
+++ b/tests/core/searches/test_hedging.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
-from turmerictiller.budgets import MAX_TOKENS
-from turmerictiller.hedging import SCARCE_FACTOR, SCARCE_TOKENS
-from turmerictiller.routing import observe_latency
-from turmerictiller.state import ServiceState
+from turmerictiller.core import effects, events
+from turmerictiller.core.searches.hedging import SCARCE_FACTOR, SCARCE_TOKENS
+from turmerictiller.core.servers.budgets import MAX_TOKENS
+from turmerictiller.core.servers.routing import observe_latency
+from turmerictiller.core.state import ServiceState
 
 
 def warmed(services: int = 1, tokens: float = 5.0) -> Harness:
--- a/tests/test_retries.py
+++ b/tests/core/searches/test_retries.py
@@ -5,9 +5,9 @@
 import pytest
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
+from turmerictiller.core import effects, events
+from turmerictiller.core.events import FailureKind
 from turmerictiller.errors import RefusalType
-from turmerictiller.events import FailureKind
 
 
 def fail(harness: Harness, attempt: effects.SendSearch, kind: FailureKind) -> None:
--- a/tests/test_searches.py
+++ b/tests/core/searches/test_searches.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
+from turmerictiller.core import effects, events
 from turmerictiller.errors import RefusalType
 
 
--- a/tests/test_limits.py
+++ b/tests/core/servers/test_limits.py
@@ -6,10 +6,15 @@
 from hypothesis import strategies as st
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
-from turmerictiller.events import FailureKind
-from turmerictiller.limits import connection_share, on_accepted, on_shed, outstanding_limit
-from turmerictiller.state import Attempt
+from turmerictiller.core import effects, events
+from turmerictiller.core.events import FailureKind
+from turmerictiller.core.servers.limits import (
+    connection_share,
+    on_accepted,
+    on_shed,
+    outstanding_limit,
+)
+from turmerictiller.core.state import Attempt
 
 
 @given(st.lists(st.booleans(), max_size=60), st.integers(0, 40))
--- a/tests/test_outliers.py
+++ b/tests/core/servers/test_outliers.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.test_routing import SERVICE, chosen, started
-from turmerictiller.outliers import FAILURES_TO_EJECT
-from turmerictiller.routing import choose_server, observe_latency
+from tests.core.servers.test_routing import SERVICE, chosen, started
+from turmerictiller.core.servers.outliers import FAILURES_TO_EJECT
+from turmerictiller.core.servers.routing import choose_server, observe_latency
 
 
 @given(st.lists(st.sampled_from(["slow", "failing", "both"]), min_size=3, max_size=3))
--- a/tests/test_quarantine.py
+++ b/tests/core/servers/test_quarantine.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from tests.reducing import Harness
-from turmerictiller import effects, events, quarantine
+from turmerictiller.core import effects, events
+from turmerictiller.core.servers import quarantine
 from turmerictiller.errors import RefusalType
 
 CRASHING = "crash me"
--- a/tests/test_routing.py
+++ b/tests/core/servers/test_routing.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from tests.reducing import Harness
-from turmerictiller.events import HealthReported, UpstreamStatus
-from turmerictiller.routing import (
+from turmerictiller.core.events import HealthReported, UpstreamStatus
+from turmerictiller.core.servers.routing import (
     choose_probe,
     choose_server,
     expected_ms,
@@ -12,7 +12,7 @@
     observe_cancelled,
     observe_latency,
 )
-from turmerictiller.state import ServerState
+from turmerictiller.core.state import ServerState
 
 SERVICE = "jobs-0"
 
--- a/tests/test_silence.py
+++ b/tests/core/servers/test_silence.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
-from turmerictiller.connection_pool import ConnectionPools
+from turmerictiller.borders.upstreams.connection_pool import ConnectionPools
+from turmerictiller.core import effects, events
 
 
 def one_server() -> Harness:
--- a/tests/test_snapshot.py
+++ b/tests/core/servers/test_snapshot.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from tests.reducing import Harness, shard_map, snapshot
-from turmerictiller import effects, events
+from turmerictiller.core import effects, events
 
 SERVICES = 3
 
--- a/tests/test_unreachable.py
+++ b/tests/core/servers/test_unreachable.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
+from turmerictiller.core import effects, events
 
 
 def test_silent_server_with_calls_outstanding_is_taken_out_of_use() -> None:
--- a/tests/test_lifecycle.py
+++ b/tests/core/test_lifecycle.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies as st
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
+from turmerictiller.borders.operators.state_dump import health
+from turmerictiller.core import effects, events
 from turmerictiller.errors import RefusalType
 from turmerictiller.phases import ProcessPhase
-from turmerictiller.state_dump import health
 
 NOTICE_MS = 300
 QUIET_MS = 200
--- /dev/null
+++ b/tests/core/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests that run at most once."""
--- a/tests/test_ticket_codec.py
+++ b/tests/core/tickets/test_codec.py
@@ -10,21 +10,21 @@
 from hypothesis import strategies as st
 
 from tests.reducing import Harness
+from turmerictiller.borders.operators.state_dump import dump_state
 from turmerictiller.config import Settings
-from turmerictiller.errors import (
-    ForeignTicketError,
-    ForgedTicketError,
-    MalformedTicketError,
-    TicketError,
-)
-from turmerictiller.state_dump import dump_state
-from turmerictiller.ticket_codec import (
+from turmerictiller.core.tickets.codec import (
     Ticket,
     decode_ticket,
     encode_ticket,
     ticket_key,
     verify_ticket,
 )
+from turmerictiller.errors import (
+    ForeignTicketError,
+    ForgedTicketError,
+    MalformedTicketError,
+    TicketError,
+)
 
 OWNER = Harness(ticket_secret="velvet").settings
 TICKET = Ticket("e1", "127.0.0.1:8081", "a1", 7, 600_000.0)
--- a/tests/test_tickets.py
+++ b/tests/core/tickets/test_tickets.py
@@ -7,13 +7,13 @@
 import pytest
 
 from tests.reducing import Harness, first_note
-from turmerictiller import effects, events
+from turmerictiller.core import effects, events
+from turmerictiller.core.events import FailureKind
+from turmerictiller.core.state import new_state
+from turmerictiller.core.tickets.codec import ticket_rewriter
 from turmerictiller.errors import Ran, RefusalType
-from turmerictiller.events import FailureKind
-from turmerictiller.replay import replay
-from turmerictiller.state import new_state
-from turmerictiller.ticket_codec import ticket_rewriter
-from turmerictiller.trace import Trace, dump_trace, reduce_recorded
+from turmerictiller.recording.replay import replay
+from turmerictiller.recording.trace import Trace, dump_trace, reduce_recorded
 
 ACTION: dict[str, Any] = {"front": "booking", "action": "pickup", "body": {"job": 1}}
 
--- a/tests/test_tickets_network.py
+++ b/tests/core/tickets/test_tickets_network.py
@@ -12,11 +12,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
-from turmerictiller.effects import AnswerForward, ReplyOutcome, ReplyRefusal
+from turmerictiller.core import effects, events
+from turmerictiller.core.effects import AnswerForward, ReplyOutcome, ReplyRefusal
+from turmerictiller.core.events import FailureKind
+from turmerictiller.core.tickets.table import RecordState
 from turmerictiller.errors import Ran
-from turmerictiller.events import FailureKind
-from turmerictiller.ticket_table import RecordState
 
 NOT_RUN_KINDS = [FailureKind.UNSENT, FailureKind.SHED, FailureKind.DRAINING]
 UNKNOWN_KINDS = [FailureKind.LOST, FailureKind.TIMED_OUT, FailureKind.REJECTED]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,9 +9,9 @@
 from typing import Any
 
 from tests.reducing import Harness
-from turmerictiller import effects, events
-from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
-from turmerictiller.notes import check_note, seal_note
+from turmerictiller.core import effects, events
+from turmerictiller.core.configuration.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.core.configuration.notes import check_note, seal_note
 
 REACHABLE_DELAY_MS = 400.0
 
--- a/tests/forwarding/driving.py
+++ b/tests/forwarding/driving.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeVar
 
+from turmerictiller.errors import Ran, RefusalType
 from turmerictiller.forwarding.effects import (
     AnswerMerged,
     LogDecision,
@@ -161,3 +162,33 @@
     def logged(self, event: str) -> list[LogDecision]:
         """Return the lines of a kind so far."""
         return [item for item in self.of(LogDecision) if item.event == event]
+
+
+def searching(shards: int = 4, servers: int = 3, **changes: float) -> Driver:
+    """Return a driver with a route over shards and enough requests for a budget of repeats."""
+    driver = Driver().start(configuration(gather_route(shards, **changes)), servers)
+    for _ in range(40):
+        call_id = driver.request()
+        driver.wait(10)
+        for sent in driver.sent(call_id):
+            driver.answer(sent)
+    return driver
+
+
+def running(idempotent: bool, servers: int = 3) -> Driver:
+    """Return a driver with a route to one service."""
+    driver = Driver().start(configuration(single_route(idempotent)), servers)
+    path = "/one/x" if idempotent else "/once/x"
+    for _ in range(40):
+        call_id = driver.request(path)
+        driver.wait(10)
+        for sent in driver.sent(call_id):
+            driver.answer(sent)
+    return driver
+
+
+def refusal_of(driver: Driver, call_id: int) -> tuple[RefusalType, Ran]:
+    """Return what a refused caller was told."""
+    outcome = driver.outcome(call_id)
+    assert isinstance(outcome, Refuse)
+    return outcome.refusal.type, outcome.refusal.ran
--- /dev/null
+++ b/tests/forwarding/test_admission.py
@@ -0,0 +1,28 @@
+"""Tests of refusals at once."""
+
+from __future__ import annotations
+
+from tests.forwarding.driving import (
+    Driver,
+    configuration,
+    gather_route,
+    refusal_of,
+)
+from turmerictiller.errors import Ran, RefusalType
+from turmerictiller.forwarding.effects import Refuse
+from turmerictiller.forwarding.events import ServerEntryRemoved
+
+
+def test_search_below_the_least_share_is_refused_at_once_without_being_sent() -> None:
+    """Guards against searches that wait in vain, and against a refusal that is not true."""
+    driver = Driver().start(configuration(gather_route()), 1)
+    for server_id in ("s0-1", "s1-1"):
+        driver.give(ServerEntryRemoved(driver.now, server_id, 5))
+    driver.wait(2_000)
+    call_id = driver.request()
+    assert driver.sent(call_id) == []
+    assert refusal_of(driver, call_id) == (RefusalType.NO_SERVER, Ran.NO)
+    outcome = driver.outcome(call_id)
+    assert isinstance(outcome, Refuse)
+    assert outcome.refusal.retry_after_ms is not None
+    assert outcome.refusal.retry_after_ms > 0
--- /dev/null
+++ b/tests/forwarding/test_hedging.py
@@ -0,0 +1,72 @@
+"""Tests of second attempts."""
+
+from __future__ import annotations
+
+from tests.forwarding.driving import (
+    searching,
+)
+from turmerictiller.forwarding.choice import FAILURES_TO_EJECT
+from turmerictiller.forwarding.effects import AbortAttempt, AnswerMerged
+
+
+def test_slow_part_is_hedged_on_another_server() -> None:
+    """Guards against searches that are late because one server pauses."""
+    driver = searching()
+    call_id = driver.request()
+    first = driver.sent(call_id)
+    for sent in first[1:]:
+        driver.answer(sent)
+    driver.wait(50)
+    hedge = driver.sent(call_id)[4:]
+    assert [item.server_id.partition("-")[0] for item in hedge] == ["s0"]
+    assert hedge[0].server_id != first[0].server_id
+    driver.answer(hedge[0])
+    assert isinstance(driver.outcome(call_id), AnswerMerged)
+    assert len(driver.logged("hedged")) == 1
+
+
+def test_late_answer_of_the_slower_server_changes_nothing() -> None:
+    """Guards against a part that counts twice."""
+    driver = searching()
+    call_id = driver.request()
+    first = driver.sent(call_id)
+    driver.wait(50)
+    for sent in first:
+        driver.answer(sent)
+    for sent in driver.sent(call_id)[4:]:
+        driver.answer(sent)
+    assert isinstance(driver.outcome(call_id), AnswerMerged)
+    assert driver.state.attempts_by_id == {}
+
+
+def test_attempt_that_nobody_waits_for_is_ended() -> None:
+    """Guards against connections that stay busy after a server has gone silent."""
+    driver = searching()
+    call_id = driver.request()
+    first = driver.sent(call_id)
+    for sent in first[1:]:
+        driver.answer(sent)
+    driver.wait(100)
+    assert driver.outcome(call_id) is not None
+    driver.wait(500)
+    aborted = {effect.attempt_id for effect in driver.of(AbortAttempt)}
+    assert first[0].attempt_id in aborted
+    assert driver.state.attempts_by_id == {}
+    assert all(not server.outstanding for server in driver.state.servers_by_id.values())
+
+
+def test_second_attempt_tests_no_server_that_failed() -> None:
+    """Guards against hedges that wait for a server which is known to fail."""
+    driver = searching()
+    call_id = driver.request()
+    first = driver.sent(call_id)[0].server_id
+    failing, sound = (
+        server
+        for server in driver.state.services_by_name["s0"].servers_by_id.values()
+        if server.entry.id != first
+    )
+    failing.failures, failing.ejected_until = FAILURES_TO_EJECT, driver.now
+    driver.wait(60)
+    hedges = [sent.server_id for sent in driver.sent(call_id)[4:]]
+    assert sound.entry.id in hedges
+    assert failing.entry.id not in hedges
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -12,12 +12,11 @@
 from turmerictiller.errors import FrameError, Ran, RefusalType
 from turmerictiller.forwarding.effects import AskPeer, Refuse
 from turmerictiller.forwarding.events import Failure, PeerHeard
+from turmerictiller.forwarding.peer_model import Hello, PeerEntry
 from turmerictiller.forwarding.peers import (
     ASSUMED_INSTANCES,
     KEEP_NUMBER_MS,
     PEER_LIFE_MS,
-    Hello,
-    PeerEntry,
     instances,
     own_hello,
 )
--- a/tests/lengths.py
+++ b/tests/lengths.py
@@ -7,7 +7,7 @@
 from collections import deque
 from typing import Any
 
-from turmerictiller.state import MAX_COMPLETIONS
+from turmerictiller.core.state import MAX_COMPLETIONS
 from turmerictiller.util.histogram import BUCKETS
 
 SERVERS = 6
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -23,15 +23,3 @@
         for match in NAMES.finditer(path.read_text())
     ]
     assert found == []
-
-
-def test_core_imports_no_border() -> None:
-    """Guards against decisions that reach for sockets, and imports that go both ways."""
-    allowed = {
-        "forwarding": ("forwarding", "phases", "errors", "clock", "util"),
-        "transport": ("transport", "forwarding", "phases", "errors", "clock", "util", "wire"),
-    }
-    for package, names in allowed.items():
-        for path in (PACKAGE / package).glob("*.py"):
-            imported = re.findall(r"from turmerictiller(?:\.(\w+))?[.\w]* import", path.read_text())
-            assert {name for name in imported if name} <= set(names), path.name
--- /dev/null
+++ b/tests/recording/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of records of events."""
--- a/tests/test_trace.py
+++ b/tests/recording/test_trace.py
@@ -16,14 +16,15 @@
 from typer.testing import CliRunner
 
 from tests.reducing import Harness
-from turmerictiller import codec, effects, events, trace
 from turmerictiller.cmd.main import app
-from turmerictiller.codec import dumps, loads
 from turmerictiller.config import Settings
+from turmerictiller.core import effects, events
+from turmerictiller.core.reducer import recover, reduce
 from turmerictiller.errors import RefusalType, TraceError
-from turmerictiller.reducer import recover, reduce
-from turmerictiller.replay import replay
-from turmerictiller.trace import Trace, dump_trace, reduce_recorded
+from turmerictiller.recording import codec, trace
+from turmerictiller.recording.codec import dumps, loads
+from turmerictiller.recording.replay import replay
+from turmerictiller.recording.trace import Trace, dump_trace, reduce_recorded
 
 NUMBERS = st.integers(-(2**63), 2**63) | st.floats(allow_nan=False)
 SCALARS = st.none() | st.booleans() | NUMBERS | st.text(max_size=8)
@@ -244,7 +245,7 @@
             harness.answer(attempt)
         seen = harness.trace.checkpoints
     first_event = orjson.loads(harness.lines()[2])["event"]
-    assert first_event["$"] == "events:SearchArrived"
+    assert first_event["$"] == "core.events:SearchArrived"
 
 
 def test_settings_are_the_same_after_a_trace() -> None:
--- a/tests/reducing.py
+++ b/tests/reducing.py
@@ -4,12 +4,12 @@
 
 from typing import Any, TypeVar
 
-from turmerictiller import effects, events
 from turmerictiller.config import load_settings
-from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
-from turmerictiller.notes import seal_note
-from turmerictiller.reducer import reduce
-from turmerictiller.state import new_state
+from turmerictiller.core import effects, events
+from turmerictiller.core.configuration.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.core.configuration.notes import seal_note
+from turmerictiller.core.reducer import reduce
+from turmerictiller.core.state import new_state
 from turmerictiller.util.canonical import snapshot_name
 
 E = TypeVar("E")
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -12,13 +12,13 @@
 
 from standins import platform, upstream
 from tests.reducing import definitions
-from turmerictiller.application import Application
+from turmerictiller.borders.application import Application
 from turmerictiller.config import Settings, load_settings
-from turmerictiller.events import Tick
-from turmerictiller.lifecycle import NOTICE_OVER
-from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
-from turmerictiller.notes import seal_note
-from turmerictiller.state import TimerKind
+from turmerictiller.core.configuration.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.core.configuration.notes import seal_note
+from turmerictiller.core.events import Tick
+from turmerictiller.core.lifecycle import NOTICE_OVER
+from turmerictiller.core.state import TimerKind
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -13,8 +13,8 @@
 from tests.fleet import next_note
 from tests.lengths import BOUNDS, SERVERS, check_lengths
 from tests.reducing import Harness, first_note, shard_map, snapshot
-from turmerictiller import effects, events
-from turmerictiller.gossip_model import (
+from turmerictiller.core import effects, events
+from turmerictiller.core.peers.gossip_model import (
     DrainingServer,
     GossipMessage,
     Member,
@@ -294,8 +294,8 @@
 
 def moved_note(current: Any, service: dict[str, Any]) -> dict[str, Any]:
     """Return the note that follows one and changes a service."""
-    from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
-    from turmerictiller.notes import seal_note
+    from turmerictiller.core.configuration.note_model import DefinitionsModel, WithdrawnModel
+    from turmerictiller.core.configuration.notes import seal_note
 
     changed = DefinitionsModel.model_validate({"services": [service], "fronts": []})
     return seal_note(current, DefinitionsModel(), changed, WithdrawnModel()).unwrap()
--- a/tests/test_combinations.py
+++ b/tests/test_combinations.py
@@ -13,8 +13,8 @@
 
 from tests.fleet import Fleet
 from tests.reducing import first_note, shard_map, snapshot
-from turmerictiller import effects, events
-from turmerictiller.quarantine import FIRST_QUARANTINE_MS
+from turmerictiller.core import effects, events
+from turmerictiller.core.servers.quarantine import FIRST_QUARANTINE_MS
 
 INSTANCES = 4
 SERVICES = 2
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -8,7 +8,7 @@
 from bench.booking_desk import SERVICES, SHARDS, desk_servers, first_note, next_note, problems_of
 from bench.processes import Processes
 from standins.upstream import documents
-from turmerictiller.notes import check_note
+from turmerictiller.core.configuration.notes import check_note
 from turmerictiller.util.canonical import snapshot_name
 
 
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -10,8 +10,8 @@
 from bench.report import figures, quantile
 from bench.scenarios import SLOWED, WARM_UP_MS, Scenario
 from bench.world import World
-from turmerictiller import routing
-from turmerictiller.state import Timers
+from turmerictiller.core.servers import routing
+from turmerictiller.core.state import Timers
 
 if TYPE_CHECKING:
     import pytest
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tests.serving import Served, on_instance, post, read_answer, search, until
-from turmerictiller.lifecycle import LIMIT, NOTICE_OVER
+from turmerictiller.core.lifecycle import LIMIT, NOTICE_OVER
 from turmerictiller.phases import ProcessPhase
 
 CALLERS = 12
--- a/turmerictiller/application.py
+++ b/turmerictiller/borders/application.py
@@ -8,10 +8,17 @@
 
 from aiohttp import web
 
-from turmerictiller import effects
-from turmerictiller.callers import CallerServer
+from turmerictiller.borders.callers.server import CallerServer
+from turmerictiller.borders.operators.exposition import exposition
+from turmerictiller.borders.operators.metrics import Metrics, observe_before, observe_effects
+from turmerictiller.borders.operators.server import OperatorViews, operator_application
+from turmerictiller.borders.operators.state_dump import dump_state, health
+from turmerictiller.borders.peers.client import Peers
+from turmerictiller.borders.platform_client import PlatformClient
+from turmerictiller.borders.upstreams.client import UpstreamClient
 from turmerictiller.clock import Clock
-from turmerictiller.events import (
+from turmerictiller.core import effects
+from turmerictiller.core.events import (
     CallersLeft,
     Event,
     RunArrived,
@@ -20,19 +27,12 @@
     Tick,
     TicketRequested,
 )
-from turmerictiller.exposition import exposition
-from turmerictiller.lifecycle import is_leaving
+from turmerictiller.core.lifecycle import is_leaving
+from turmerictiller.core.reducer import recover
+from turmerictiller.core.state import new_state
+from turmerictiller.core.tickets.codec import ticket_rewriter
 from turmerictiller.logs import part_logger
-from turmerictiller.metrics import Metrics, observe_before, observe_effects
-from turmerictiller.operators import OperatorViews, operator_application
-from turmerictiller.peers import Peers
-from turmerictiller.platform_client import PlatformClient
-from turmerictiller.reducer import recover
-from turmerictiller.state import new_state
-from turmerictiller.state_dump import dump_state, health
-from turmerictiller.ticket_codec import ticket_rewriter
-from turmerictiller.trace import Trace, dump_trace, reduce_recorded
-from turmerictiller.upstreams import UpstreamClient
+from turmerictiller.recording.trace import Trace, dump_trace, reduce_recorded
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/turmerictiller/caller_answers.py
+++ b/turmerictiller/borders/callers/answers.py
@@ -10,9 +10,9 @@
 from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from pydantic import ValidationError
 
-from turmerictiller.effects import ReplyOutcome, ReplyRefusal, ReplySearch, ReplyTicket
+from turmerictiller.core.effects import ReplyOutcome, ReplyRefusal, ReplySearch, ReplyTicket
+from turmerictiller.core.lifecycle import RETRY_ELSEWHERE_MS
 from turmerictiller.errors import BodyError, Ran, Refusal, RefusalType, ShutdownError
-from turmerictiller.lifecycle import RETRY_ELSEWHERE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/turmerictiller/caller_connections.py
+++ b/turmerictiller/borders/callers/connections.py
@@ -14,7 +14,7 @@
 
 from aiohttp import web
 
-from turmerictiller.caller_answers import (
+from turmerictiller.borders.callers.answers import (
     RETRY_AFTER_MS,
     headers_too_large,
     refusal_bytes,
--- a/turmerictiller/callers.py
+++ b/turmerictiller/borders/callers/server.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from turmerictiller.caller_answers import (
+from turmerictiller.borders.callers.answers import (
     Reply,
     half_closed,
     headers_too_large,
@@ -20,11 +20,11 @@
     reply_response,
     shutting_down,
 )
-from turmerictiller.caller_bodies import RunBody, SearchBody, TicketBody, parse_json
-from turmerictiller.caller_connections import CallerConnection, CallerListener
-from turmerictiller.effects import ReplyRefusal
+from turmerictiller.borders.callers.bodies import RunBody, SearchBody, TicketBody, parse_json
+from turmerictiller.borders.callers.connections import CallerConnection, CallerListener
+from turmerictiller.core.effects import ReplyRefusal
+from turmerictiller.core.events import CallerGone, Event, RunArrived, SearchArrived, TicketRequested
 from turmerictiller.errors import Ran, Refusal, RefusalType
-from turmerictiller.events import CallerGone, Event, RunArrived, SearchArrived, TicketRequested
 from turmerictiller.logs import part_logger
 
 if TYPE_CHECKING:
--- a/turmerictiller/dump_peers.py
+++ b/turmerictiller/borders/operators/dump_peers.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.gossip_model import PeerStatus
-from turmerictiller.peer_membership import contact_addresses, is_heard
-from turmerictiller.peer_state import NEVER
+from turmerictiller.core.peers.gossip_model import PeerStatus
+from turmerictiller.core.peers.peer_membership import contact_addresses, is_heard
+from turmerictiller.core.peers.peer_state import NEVER
 
 if TYPE_CHECKING:
-    from turmerictiller.note_state import RefusedNote
-    from turmerictiller.peer_state import Peer
-    from turmerictiller.quarantine import Suspect
-    from turmerictiller.state import State
+    from turmerictiller.core.configuration.note_state import RefusedNote
+    from turmerictiller.core.peers.peer_state import Peer
+    from turmerictiller.core.servers.suspects import Suspect
+    from turmerictiller.core.state import State
 
 
 def dump_peers(state: State) -> dict[str, Any]:
--- a/turmerictiller/dump_searches.py
+++ b/turmerictiller/borders/operators/dump_searches.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from turmerictiller.state import Search, State
+    from turmerictiller.core.state import Search, State
 
 MAX_SHOWN = 20
 
--- a/turmerictiller/dump_servers.py
+++ b/turmerictiller/borders/operators/dump_servers.py
@@ -5,10 +5,10 @@
 import math
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.limits import outstanding_limit
+from turmerictiller.core.servers.limits import outstanding_limit
 
 if TYPE_CHECKING:
-    from turmerictiller.state import ServerState, State
+    from turmerictiller.core.state import ServerState, State
 
 
 def dump_servers(state: State) -> list[dict[str, Any]]:
--- a/turmerictiller/exposition.py
+++ b/turmerictiller/borders/operators/exposition.py
@@ -8,15 +8,15 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller import __version__
-from turmerictiller.limits import live_instances
+from turmerictiller.core.servers.limits import live_instances
 from turmerictiller.util.prometheus import family, named, summaries
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-    from turmerictiller.metrics import Metrics
-    from turmerictiller.state import State
-    from turmerictiller.trace import Trace
+    from turmerictiller.borders.operators.metrics import Metrics
+    from turmerictiller.core.state import State
+    from turmerictiller.recording.trace import Trace
     from turmerictiller.util.prometheus import Samples
 
 
--- a/turmerictiller/metrics.py
+++ b/turmerictiller/borders/operators/metrics.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from turmerictiller.effects import ReplyRefusal, ReplySearch
-from turmerictiller.events import AttemptAnswered, CallerGone, RunAnswered, SearchArrived
+from turmerictiller.core.effects import ReplyRefusal, ReplySearch
+from turmerictiller.core.events import AttemptAnswered, CallerGone, RunAnswered, SearchArrived
 from turmerictiller.util.series import Series, new_series, record
 
 if TYPE_CHECKING:
@@ -19,9 +19,9 @@
 
     from turmerictiller.clock import Millis
     from turmerictiller.config import Settings
-    from turmerictiller.effects import Effect
-    from turmerictiller.events import Event
-    from turmerictiller.state import State
+    from turmerictiller.core.effects import Effect
+    from turmerictiller.core.events import Event
+    from turmerictiller.core.state import State
 
 WINDOW_MS = 60_000.0
 OTHER = "other"  # series that takes the names for which there is no room
--- a/turmerictiller/state_dump.py
+++ b/turmerictiller/borders/operators/state_dump.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.dump_peers import dump_peers
-from turmerictiller.dump_searches import dump_searches
-from turmerictiller.dump_servers import dump_servers
-from turmerictiller.join_rule import is_joined
-from turmerictiller.lifecycle import is_leaving
-from turmerictiller.limits import live_instances
+from turmerictiller.borders.operators.dump_peers import dump_peers
+from turmerictiller.borders.operators.dump_searches import dump_searches
+from turmerictiller.borders.operators.dump_servers import dump_servers
+from turmerictiller.core.configuration.join_rule import is_joined
+from turmerictiller.core.lifecycle import is_leaving
+from turmerictiller.core.servers.limits import live_instances
 
 if TYPE_CHECKING:
-    from turmerictiller.state import State
+    from turmerictiller.core.state import State
 
 REFUSALS = "refusals."
 
--- a/turmerictiller/peers.py
+++ b/turmerictiller/borders/peers/client.py
@@ -5,18 +5,18 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from turmerictiller.borders.peers.connection import PeerConnection
+from turmerictiller.borders.peers.frames import NoteAnswer, NoteRequest, RunOutcome, RunRequest
+from turmerictiller.borders.peers.server import PeerServer
+from turmerictiller.core.events import Event, ForwardAnswered, ForwardFailed, NoteSeen, PeerFailed
 from turmerictiller.errors import PeerError
-from turmerictiller.events import Event, ForwardAnswered, ForwardFailed, NoteSeen, PeerFailed
-from turmerictiller.frames import NoteAnswer, NoteRequest, RunOutcome, RunRequest
-from turmerictiller.peer_connection import PeerConnection
-from turmerictiller.peer_server import PeerServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
     from turmerictiller.clock import Clock
     from turmerictiller.config import Settings
-    from turmerictiller.effects import FetchNote, ForwardRun, SendGossip
+    from turmerictiller.core.effects import FetchNote, ForwardRun, SendGossip
 
 FAREWELL_S = 0.1
 OWNER_FAILURES = frozenset({"not_owner", "too_many_requests"})
--- a/turmerictiller/peer_connection.py
+++ b/turmerictiller/borders/peers/connection.py
@@ -7,8 +7,8 @@
 import socket
 from typing import TYPE_CHECKING
 
+from turmerictiller.borders.peers.frames import Frame, Message, encode_frame, read_frame
 from turmerictiller.errors import FrameError, PeerError
-from turmerictiller.frames import Frame, Message, encode_frame, read_frame
 
 if TYPE_CHECKING:
     from turmerictiller.config import Settings
--- a/turmerictiller/frames.py
+++ b/turmerictiller/borders/peers/frames.py
@@ -13,9 +13,9 @@
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
+from turmerictiller.borders.peers.gossip_frames import gossip_from_wire, gossip_to_wire
+from turmerictiller.core.peers.gossip_model import GossipMessage
 from turmerictiller.errors import FrameError
-from turmerictiller.gossip_frames import gossip_from_wire, gossip_to_wire
-from turmerictiller.gossip_model import GossipMessage
 from turmerictiller.util.wire_checks import MAX_LIST_LENGTH, integer, optional_integer, text
 from turmerictiller.wire.peers import constants, ttypes
 
--- a/turmerictiller/gossip_frames.py
+++ b/turmerictiller/borders/peers/gossip_frames.py
@@ -4,14 +4,14 @@
 
 from typing import Any
 
-from turmerictiller.errors import FrameError
-from turmerictiller.gossip_model import (
+from turmerictiller.core.peers.gossip_model import (
     DrainingServer,
     GossipMessage,
     Member,
     PeerStatus,
     QuarantineEntry,
 )
+from turmerictiller.errors import FrameError
 from turmerictiller.util.wire_checks import finite, integer, ip_address, items, text
 from turmerictiller.wire.peers import ttypes
 
--- a/turmerictiller/peer_server.py
+++ b/turmerictiller/borders/peers/server.py
@@ -7,9 +7,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.errors import FrameError
-from turmerictiller.events import Event, GossipReceived, RunForwarded
-from turmerictiller.frames import (
+from turmerictiller.borders.peers.frames import (
     Frame,
     Message,
     NoteAnswer,
@@ -19,14 +17,16 @@
     encode_frame,
     read_frame,
 )
-from turmerictiller.gossip_model import GossipMessage
+from turmerictiller.core.events import Event, GossipReceived, RunForwarded
+from turmerictiller.core.peers.gossip_model import GossipMessage
+from turmerictiller.errors import FrameError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from turmerictiller.clock import Clock
     from turmerictiller.config import Settings
-    from turmerictiller.effects import AnswerForward
+    from turmerictiller.core.effects import AnswerForward
 
 MAX_UNSENT_BYTES = 4_194_304
 
--- a/turmerictiller/platform_client.py
+++ b/turmerictiller/borders/platform_client.py
@@ -17,7 +17,7 @@
 import aiohttp
 import orjson
 
-from turmerictiller.events import (
+from turmerictiller.core.events import (
     Event,
     InstanceListSeen,
     ListedInstance,
--- a/turmerictiller/upstreams.py
+++ b/turmerictiller/borders/upstreams/client.py
@@ -9,8 +9,8 @@
 import aiohttp
 import orjson
 
-from turmerictiller.connection_pool import ConnectionPools
-from turmerictiller.events import (
+from turmerictiller.borders.upstreams.connection_pool import ConnectionPools
+from turmerictiller.core.events import (
     AttemptAnswered,
     AttemptFailed,
     Event,
@@ -29,7 +29,7 @@
 
     from turmerictiller.clock import Clock
     from turmerictiller.config import Settings
-    from turmerictiller.effects import (
+    from turmerictiller.core.effects import (
         FetchShardMap,
         PollHealth,
         ResetConnections,
--- a/turmerictiller/cmd/check_note.py
+++ b/turmerictiller/cmd/check_note.py
@@ -16,7 +16,7 @@
     read_json,
     read_previous,
 )
-from turmerictiller.notes import check_note
+from turmerictiller.core.configuration.notes import check_note
 from turmerictiller.util.canonical import canonical_json
 
 
--- a/turmerictiller/cmd/entry.py
+++ b/turmerictiller/cmd/entry.py
@@ -52,7 +52,7 @@
             typer.echo(f"turmerictiller: {with_flag_names(problem)}", err=True)
         raise typer.Exit(EXIT_BAD_SETTINGS) from None
     set_up(settings)
-    from turmerictiller.application import Application
+    from turmerictiller.borders.application import Application
 
     async def serve() -> None:
         await Application(settings).run()
--- a/turmerictiller/cmd/note_files.py
+++ b/turmerictiller/cmd/note_files.py
@@ -10,8 +10,8 @@
 from result import Err
 
 from turmerictiller.config import Settings
-from turmerictiller.fronts import NoteInForce
-from turmerictiller.notes import NoteError, NoteErrors, check_note
+from turmerictiller.core.configuration.notes import NoteError, NoteErrors, check_note
+from turmerictiller.core.fronts import NoteInForce
 
 EXIT_INVALID = 1
 EXIT_UNREADABLE = 2
--- a/turmerictiller/cmd/replay.py
+++ b/turmerictiller/cmd/replay.py
@@ -8,10 +8,10 @@
 import typer
 
 from turmerictiller.cmd.note_files import EXIT_UNREADABLE, fail
-from turmerictiller.codec import dumps
 from turmerictiller.errors import TraceError
-from turmerictiller.replay import Step
-from turmerictiller.replay import replay as repeat
+from turmerictiller.recording.codec import dumps
+from turmerictiller.recording.replay import Step
+from turmerictiller.recording.replay import replay as repeat
 
 EXIT_DIFFERENT = 1
 
--- a/turmerictiller/cmd/seal_note.py
+++ b/turmerictiller/cmd/seal_note.py
@@ -18,8 +18,8 @@
     read_json,
     read_previous,
 )
-from turmerictiller.note_model import DefinitionsModel, WithdrawnModel
-from turmerictiller.notes import seal_note
+from turmerictiller.core.configuration.note_model import DefinitionsModel, WithdrawnModel
+from turmerictiller.core.configuration.notes import seal_note
 
 
 class Changes(BaseModel):
--- a/turmerictiller/join_rule.py
+++ b/turmerictiller/core/configuration/join_rule.py
@@ -14,15 +14,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from turmerictiller.effects import SendGossip
-from turmerictiller.gossip_content import short_message
-from turmerictiller.note_state import JoinAnswer, JoinPhase
-from turmerictiller.peer_membership import contact_addresses
+from turmerictiller.core.configuration.note_state import JoinAnswer, JoinPhase
+from turmerictiller.core.effects import SendGossip
+from turmerictiller.core.peers.gossip_content import short_message
+from turmerictiller.core.peers.peer_membership import contact_addresses
 
 if TYPE_CHECKING:
-    from turmerictiller.fronts import NoteInForce
-    from turmerictiller.gossip_model import GossipMessage
-    from turmerictiller.state import State
+    from turmerictiller.core.fronts import NoteInForce
+    from turmerictiller.core.peers.gossip_model import GossipMessage
+    from turmerictiller.core.state import State
 
 
 @dataclass(frozen=True, slots=True)
--- a/turmerictiller/note_state.py
+++ b/turmerictiller/core/configuration/note_state.py
@@ -6,12 +6,12 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.peer_state import NEVER
+from turmerictiller.core.peers.peer_state import NEVER
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
-    from turmerictiller.fronts import NoteInForce
-    from turmerictiller.notes import NoteError
+    from turmerictiller.core.configuration.notes import NoteError
+    from turmerictiller.core.fronts import NoteInForce
 
 
 class JoinPhase(Enum):
--- a/turmerictiller/notes.py
+++ b/turmerictiller/core/configuration/notes.py
@@ -13,7 +13,15 @@
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
-from turmerictiller.fronts import (
+from turmerictiller.core.configuration.note_model import (
+    DefinitionsModel,
+    FrontModel,
+    NoteModel,
+    ServiceModel,
+    WithdrawnModel,
+    to_document,
+)
+from turmerictiller.core.fronts import (
     Configuration,
     Front,
     NoteInForce,
@@ -22,14 +30,6 @@
     Server,
     Service,
 )
-from turmerictiller.note_model import (
-    DefinitionsModel,
-    FrontModel,
-    NoteModel,
-    ServiceModel,
-    WithdrawnModel,
-    to_document,
-)
 from turmerictiller.util.canonical import digest
 
 MAX_NUMBER_GAP = 1_000  # a mistyped number must not lock out the notes after it
--- a/turmerictiller/notes_in_force.py
+++ b/turmerictiller/core/configuration/notes_in_force.py
@@ -6,18 +6,18 @@
 
 from result import Err, Ok, Result
 
-from turmerictiller import join_rule
-from turmerictiller.effects import FetchNote, WriteLog
-from turmerictiller.membership import install_configuration
-from turmerictiller.note_state import Fetch, JoinPhase
-from turmerictiller.notes import NoteError, NoteErrors, NoteErrorType, check_note
-from turmerictiller.refused_notes import digest_of, refuse, was_refused_lately
+from turmerictiller.core.configuration import join_rule
+from turmerictiller.core.configuration.note_state import Fetch, JoinPhase
+from turmerictiller.core.configuration.notes import NoteError, NoteErrors, NoteErrorType, check_note
+from turmerictiller.core.configuration.refused_notes import digest_of, refuse, was_refused_lately
+from turmerictiller.core.effects import FetchNote, WriteLog
+from turmerictiller.core.servers.membership import install_configuration
 
 if TYPE_CHECKING:
-    from turmerictiller.events import NoteSeen
-    from turmerictiller.fronts import NoteInForce
-    from turmerictiller.gossip_model import GossipMessage
-    from turmerictiller.state import State
+    from turmerictiller.core.events import NoteSeen
+    from turmerictiller.core.fronts import NoteInForce
+    from turmerictiller.core.peers.gossip_model import GossipMessage
+    from turmerictiller.core.state import State
 
 PLATFORM = "platform"
 MAX_CONFLICTS = 8
--- a/turmerictiller/refused_notes.py
+++ b/turmerictiller/core/configuration/refused_notes.py
@@ -6,15 +6,15 @@
 
 from result import Ok
 
-from turmerictiller.effects import WriteLog
-from turmerictiller.note_model import to_document
-from turmerictiller.note_state import RefusedNote
-from turmerictiller.notes import NoteErrorType, parse_note
+from turmerictiller.core.configuration.note_model import to_document
+from turmerictiller.core.configuration.note_state import RefusedNote
+from turmerictiller.core.configuration.notes import NoteErrorType, parse_note
+from turmerictiller.core.effects import WriteLog
 from turmerictiller.util.canonical import digest
 
 if TYPE_CHECKING:
-    from turmerictiller.notes import NoteErrors
-    from turmerictiller.state import State
+    from turmerictiller.core.configuration.notes import NoteErrors
+    from turmerictiller.core.state import State
 
 MAX_ERRORS_KEPT = 8
 REFETCH_AFTER_MS = 30_000.0
--- a/turmerictiller/effects.py
+++ b/turmerictiller/core/effects.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from turmerictiller.clock import Millis
+from turmerictiller.core.events import Hit
 from turmerictiller.errors import Refusal
-from turmerictiller.events import Hit
 
 
 @dataclass(frozen=True, slots=True)
--- a/turmerictiller/ended_timers.py
+++ b/turmerictiller/core/ended_timers.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.state import TimerKind
+from turmerictiller.core.state import TimerKind
 
 if TYPE_CHECKING:
-    from turmerictiller.state import State
+    from turmerictiller.core.state import State
 
 MIN_TIMERS = 256  # fewer are not worth a look at each
 
--- a/turmerictiller/housekeeping.py
+++ b/turmerictiller/core/housekeeping.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.pauses import HOUSEKEEPING_MS
-from turmerictiller.quarantine import forget_old
-from turmerictiller.state import TimerKind
+from turmerictiller.core.pauses import HOUSEKEEPING_MS
+from turmerictiller.core.servers.quarantine import forget_old
+from turmerictiller.core.state import TimerKind
 
 if TYPE_CHECKING:
-    from turmerictiller.state import State
+    from turmerictiller.core.state import State
 
 
 def on_housekeeping(state: State, key: Any) -> None:
--- a/turmerictiller/lifecycle.py
+++ b/turmerictiller/core/lifecycle.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.effects import CloseListeners, ReplyRefusal, Stop, WriteLog
+from turmerictiller.core.effects import CloseListeners, ReplyRefusal, Stop, WriteLog
+from turmerictiller.core.events import RunArrived, SearchArrived, TicketRequested
+from turmerictiller.core.peers.gossip_content import farewell
+from turmerictiller.core.state import TimerKind
 from turmerictiller.errors import Ran, Refusal, RefusalType
-from turmerictiller.events import RunArrived, SearchArrived, TicketRequested
-from turmerictiller.gossip_content import farewell
 from turmerictiller.phases import ProcessPhase, next_phase
-from turmerictiller.state import TimerKind
 
 if TYPE_CHECKING:
-    from turmerictiller.events import CallersLeft, Event, ShutdownRequested
-    from turmerictiller.state import State
+    from turmerictiller.core.events import CallersLeft, Event, ShutdownRequested
+    from turmerictiller.core.state import State
 
 CHECK_INTERVAL_MS = 50
 RETRY_ELSEWHERE_MS = 100
--- a/turmerictiller/pauses.py
+++ b/turmerictiller/core/pauses.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.effects import WriteLog
-from turmerictiller.state import TimerKind
+from turmerictiller.core.effects import WriteLog
+from turmerictiller.core.state import TimerKind
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
-    from turmerictiller.state import State
+    from turmerictiller.core.state import State
 
 HOUSEKEEPING_MS = 100.0
 
--- a/turmerictiller/gossip.py
+++ b/turmerictiller/core/peers/gossip.py
@@ -4,16 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller import notes_in_force, peer_membership
-from turmerictiller.effects import SendGossip
-from turmerictiller.gossip_content import full_message, short_message
-from turmerictiller.membership import mark_draining
-from turmerictiller.quarantine import adopt
-from turmerictiller.state import State, TimerKind
+from turmerictiller.core.configuration import notes_in_force
+from turmerictiller.core.effects import SendGossip
+from turmerictiller.core.peers import peer_membership
+from turmerictiller.core.peers.gossip_content import full_message, short_message
+from turmerictiller.core.servers.membership import mark_draining
+from turmerictiller.core.servers.quarantine import adopt
+from turmerictiller.core.state import State, TimerKind
 
 if TYPE_CHECKING:
-    from turmerictiller.events import GossipReceived, PeerFailed
-    from turmerictiller.gossip_model import GossipMessage
+    from turmerictiller.core.events import GossipReceived, PeerFailed
+    from turmerictiller.core.peers.gossip_model import GossipMessage
 
 ROUND_JITTER = 0.1
 
--- a/turmerictiller/gossip_content.py
+++ b/turmerictiller/core/peers/gossip_content.py
@@ -4,20 +4,20 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.effects import SendGossip
-from turmerictiller.gossip_model import (
+from turmerictiller.core.effects import SendGossip
+from turmerictiller.core.peers.gossip_model import (
     DrainingServer,
     GossipMessage,
     Member,
     PeerStatus,
     QuarantineEntry,
 )
-from turmerictiller.peer_membership import gossip_targets
+from turmerictiller.core.peers.peer_membership import gossip_targets
+from turmerictiller.core.servers.quarantine import own_quarantines
 from turmerictiller.phases import ProcessPhase
-from turmerictiller.quarantine import own_quarantines
 
 if TYPE_CHECKING:
-    from turmerictiller.state import ServerState, State
+    from turmerictiller.core.state import ServerState, State
 
 PACKET_OVERHEAD_BYTES = 104  # IP and TCP headers of a segment and of its acknowledgement
 MESSAGE_OVERHEAD_BYTES = 164  # frame, digest and the fields around the lists
--- a/turmerictiller/peer_membership.py
+++ b/turmerictiller/core/peers/peer_membership.py
@@ -9,13 +9,13 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.gossip_model import Member, PeerStatus
-from turmerictiller.peer_state import Peer
+from turmerictiller.core.peers.gossip_model import Member, PeerStatus
+from turmerictiller.core.peers.peer_state import Peer
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
-    from turmerictiller.events import ListedInstance
-    from turmerictiller.state import State
+    from turmerictiller.core.events import ListedInstance
+    from turmerictiller.core.state import State
 
 KEPT_INCARNATIONS = 4
 MEMBERS_PER_MESSAGE = 8
--- a/turmerictiller/peer_state.py
+++ b/turmerictiller/core/peers/peer_state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from turmerictiller.gossip_model import PeerStatus
+from turmerictiller.core.peers.gossip_model import PeerStatus
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
--- a/turmerictiller/reducer.py
+++ b/turmerictiller/core/reducer.py
@@ -4,30 +4,23 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller import (
-    events,
-    gossip,
-    hedging,
-    housekeeping,
-    lifecycle,
-    membership,
-    notes_in_force,
-    pauses,
-    searches,
-    snapshot,
-    ticket_forwards,
-    ticket_runs,
-    tickets,
-)
-from turmerictiller.effects import WakeAt
-from turmerictiller.ended_timers import drop_ended
-from turmerictiller.state import TimerKind
+from turmerictiller.core import events, housekeeping, lifecycle, pauses
+from turmerictiller.core.configuration import notes_in_force
+from turmerictiller.core.effects import WakeAt
+from turmerictiller.core.ended_timers import drop_ended
+from turmerictiller.core.peers import gossip
+from turmerictiller.core.searches import hedging, searches
+from turmerictiller.core.servers import membership, snapshot
+from turmerictiller.core.state import TimerKind
+from turmerictiller.core.tickets import forwards as ticket_forwards
+from turmerictiller.core.tickets import runs as ticket_runs
+from turmerictiller.core.tickets import tickets
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from turmerictiller.effects import Effect
-    from turmerictiller.state import State
+    from turmerictiller.core.effects import Effect
+    from turmerictiller.core.state import State
 
 
 def _is_run(state: State, attempt_id: int) -> bool:
--- a/turmerictiller/admission.py
+++ b/turmerictiller/core/searches/admission.py
@@ -5,14 +5,14 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from turmerictiller.core.fronts import OverloadPolicy, Priority
+from turmerictiller.core.searches.fairness import exceeds_fair_share
+from turmerictiller.core.servers.limits import live_instances
+from turmerictiller.core.servers.routing import servers_with
 from turmerictiller.errors import Ran, Refusal, RefusalType
-from turmerictiller.fairness import exceeds_fair_share
-from turmerictiller.fronts import OverloadPolicy, Priority
-from turmerictiller.limits import live_instances
-from turmerictiller.routing import servers_with
 
 if TYPE_CHECKING:
-    from turmerictiller.state import Search, ServicePart, ServiceState, State, Waiting
+    from turmerictiller.core.state import Search, ServicePart, ServiceState, State, Waiting
 
 WAIT_SHARE_BY_PRIORITY = {Priority.INTERACTIVE: 0.15, Priority.BATCH: 0.075}
 RANK_BY_PRIORITY = {Priority.INTERACTIVE: 0, Priority.BATCH: 1}
--- a/turmerictiller/search_checks.py
+++ b/turmerictiller/core/searches/checks.py
@@ -5,16 +5,16 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from turmerictiller.core.fronts import Priority
+from turmerictiller.core.searches.merge import decode_cursor
+from turmerictiller.core.servers.quarantine import quarantined_for_ms
+from turmerictiller.core.servers.snapshot import choose_snapshot, shards_of
+from turmerictiller.core.state import Search, ServicePart, State
 from turmerictiller.errors import CursorError, Ran, Refusal, RefusalType
-from turmerictiller.fronts import Priority
-from turmerictiller.merge import decode_cursor
-from turmerictiller.quarantine import quarantined_for_ms
-from turmerictiller.snapshot import choose_snapshot, shards_of
-from turmerictiller.state import Search, ServicePart, State
 
 if TYPE_CHECKING:
-    from turmerictiller.events import SearchArrived
-    from turmerictiller.fronts import Front
+    from turmerictiller.core.events import SearchArrived
+    from turmerictiller.core.fronts import Front
 
 RETRY_AFTER_MS = 200
 MAX_QUERY_CHARS = 4_096
--- a/turmerictiller/early_answers.py
+++ b/turmerictiller/core/searches/early_answers.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.state import TimerKind
+from turmerictiller.core.state import TimerKind
 
 if TYPE_CHECKING:
-    from turmerictiller.state import Search, ServicePart, State
+    from turmerictiller.core.state import Search, ServicePart, State
 
 WAIT_MS_PER_COVERAGE = 2_000.0
 LATE_FACTOR = 2.0
--- a/turmerictiller/fairness.py
+++ b/turmerictiller/core/searches/fairness.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable, Iterable
 
-    from turmerictiller.state import Search, State
+    from turmerictiller.core.state import Search, State
 
 FAIR_FACTOR = 2.0
 MIN_IN_FLIGHT = 2
--- a/turmerictiller/hedging.py
+++ b/turmerictiller/core/searches/hedging.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.attempts import start_attempt
-from turmerictiller.budgets import refund_hedge_token, take_hedge_token
-from turmerictiller.state import TimerKind
+from turmerictiller.core.servers.attempts import start_attempt
+from turmerictiller.core.servers.budgets import refund_hedge_token, take_hedge_token
+from turmerictiller.core.state import TimerKind
 
 if TYPE_CHECKING:
-    from turmerictiller.state import Search, ServicePart, State
+    from turmerictiller.core.state import Search, ServicePart, State
 
 HedgeKey = tuple[int, str, int]
 
--- a/turmerictiller/losses.py
+++ b/turmerictiller/core/searches/losses.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from turmerictiller.state import Search, ServicePart
+    from turmerictiller.core.state import Search, ServicePart
 
 
 def may_send_again(search: Search, part: ServicePart) -> bool:
--- a/turmerictiller/merge.py
+++ b/turmerictiller/core/searches/merge.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from turmerictiller.events import Hit
+    from turmerictiller.core.events import Hit
 
 MAX_CURSOR_CHARS = 512
 
--- a/turmerictiller/parts.py
+++ b/turmerictiller/core/searches/parts.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.admission import enqueue
-from turmerictiller.attempts import budget_of, start_attempt
-from turmerictiller.hedging import plan_hedge
-from turmerictiller.routing import servers_with
+from turmerictiller.core.searches.admission import enqueue
+from turmerictiller.core.searches.hedging import plan_hedge
+from turmerictiller.core.servers.attempts import budget_of, start_attempt
+from turmerictiller.core.servers.routing import servers_with
 
 if TYPE_CHECKING:
-    from turmerictiller.state import Search, ServicePart, State
+    from turmerictiller.core.state import Search, ServicePart, State
 
 
 def start_or_wait(state: State, search: Search, part: ServicePart, reason: str) -> None:
--- a/turmerictiller/retries.py
+++ b/turmerictiller/core/searches/retries.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.budgets import take_retry_token
-from turmerictiller.events import FailureKind
+from turmerictiller.core.events import FailureKind
+from turmerictiller.core.servers.budgets import take_retry_token
 
 if TYPE_CHECKING:
-    from turmerictiller.state import ServicePart, State
+    from turmerictiller.core.state import ServicePart, State
 
 # The upstream did no work for these, so that a retry elsewhere replaces the call.
 FREE_FAILURES = frozenset(
--- a/turmerictiller/searches.py
+++ b/turmerictiller/core/searches/searches.py
@@ -4,35 +4,40 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.admission import next_waiting, refuse_early, remove_next
-from turmerictiller.attempts import (
+from turmerictiller.core.effects import ReplyRefusal, ReplySearch
+from turmerictiller.core.events import FailureKind
+from turmerictiller.core.searches.admission import next_waiting, refuse_early, remove_next
+from turmerictiller.core.searches.checks import (
+    RETRY_AFTER_MS,
+    prepare_search,
+    quarantine_refusal,
+    set_parts,
+)
+from turmerictiller.core.searches.early_answers import give_up_missing, should_stop, watch
+from turmerictiller.core.searches.losses import may_send_again, release_lost_parts
+from turmerictiller.core.searches.merge import Cursor, encode_cursor, hits_after, rank, top_k
+from turmerictiller.core.searches.parts import serve_part, start_or_wait, start_part
+from turmerictiller.core.searches.retries import may_retry
+from turmerictiller.core.servers.attempts import (
     cancel_attempts,
     close_attempt,
     is_valid_answer,
     observe_answer,
     observe_failure,
 )
-from turmerictiller.early_answers import give_up_missing, should_stop, watch
-from turmerictiller.effects import ReplyRefusal, ReplySearch
-from turmerictiller.errors import Ran, Refusal, RefusalType
-from turmerictiller.events import FailureKind
-from turmerictiller.losses import may_send_again, release_lost_parts
-from turmerictiller.membership import observe_status
-from turmerictiller.merge import Cursor, encode_cursor, hits_after, rank, top_k
-from turmerictiller.parts import serve_part, start_or_wait, start_part
-from turmerictiller.quarantine import begin_test, end_test, quarantined_for_ms, service_to_test
-from turmerictiller.retries import may_retry
-from turmerictiller.search_checks import (
-    RETRY_AFTER_MS,
-    prepare_search,
-    quarantine_refusal,
-    set_parts,
+from turmerictiller.core.servers.membership import observe_status
+from turmerictiller.core.servers.quarantine import (
+    begin_test,
+    end_test,
+    quarantined_for_ms,
+    service_to_test,
 )
-from turmerictiller.snapshot import choose_snapshot, coverage_of
-from turmerictiller.state import Search, ServicePart, State, TimerKind
+from turmerictiller.core.servers.snapshot import choose_snapshot, coverage_of
+from turmerictiller.core.state import Search, ServicePart, State, TimerKind
+from turmerictiller.errors import Ran, Refusal, RefusalType
 
 if TYPE_CHECKING:
-    from turmerictiller.events import AttemptAnswered, AttemptFailed, CallerGone, SearchArrived
+    from turmerictiller.core.events import AttemptAnswered, AttemptFailed, CallerGone, SearchArrived
 
 RESTART_MIN_SHARE = 0.5
 
--- a/turmerictiller/attempts.py
+++ b/turmerictiller/core/servers/attempts.py
@@ -4,17 +4,22 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.budgets import on_primary_call
-from turmerictiller.effects import CancelAttempt, SendSearch
-from turmerictiller.events import FailureKind
-from turmerictiller.limits import on_accepted, on_shed
-from turmerictiller.quarantine import on_answered, on_server_lost
-from turmerictiller.routing import choose_probe, choose_server, observe_cancelled, observe_latency
-from turmerictiller.silence import on_unanswered
-from turmerictiller.state import Attempt, Search, ServerState, ServicePart, State
+from turmerictiller.core.effects import CancelAttempt, SendSearch
+from turmerictiller.core.events import FailureKind
+from turmerictiller.core.servers.budgets import on_primary_call
+from turmerictiller.core.servers.limits import on_accepted, on_shed
+from turmerictiller.core.servers.quarantine import on_answered, on_server_lost
+from turmerictiller.core.servers.routing import (
+    choose_probe,
+    choose_server,
+    observe_cancelled,
+    observe_latency,
+)
+from turmerictiller.core.servers.silence import on_unanswered
+from turmerictiller.core.state import Attempt, Search, ServerState, ServicePart, State
 
 if TYPE_CHECKING:
-    from turmerictiller.events import AttemptAnswered, AttemptFailed
+    from turmerictiller.core.events import AttemptAnswered, AttemptFailed
 
 SERVER_FAILURES = frozenset(
     {
--- a/turmerictiller/budgets.py
+++ b/turmerictiller/core/servers/budgets.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from turmerictiller.state import State
+    from turmerictiller.core.state import State
 
 MAX_TOKENS = 10.0
 MIN_RETRIES_PER_S = 1.0
--- a/turmerictiller/limits.py
+++ b/turmerictiller/core/servers/limits.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from turmerictiller.state import Attempt, ServerState, State
+    from turmerictiller.core.state import Attempt, ServerState, State
 
 DECREASE_FACTOR = 0.5
 INCREASE = 0.2
--- a/turmerictiller/membership.py
+++ b/turmerictiller/core/servers/membership.py
@@ -4,20 +4,20 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller import peer_membership
-from turmerictiller.effects import PollHealth, ResetConnections
-from turmerictiller.silence import on_poll_answered
-from turmerictiller.snapshot import request_missing_maps
-from turmerictiller.state import ServerState, ServiceState, State, TimerKind
+from turmerictiller.core.effects import PollHealth, ResetConnections
+from turmerictiller.core.peers import peer_membership
+from turmerictiller.core.servers.silence import on_poll_answered
+from turmerictiller.core.servers.snapshot import request_missing_maps
+from turmerictiller.core.state import ServerState, ServiceState, State, TimerKind
 
 if TYPE_CHECKING:
-    from turmerictiller.events import (
+    from turmerictiller.core.events import (
         HealthFailed,
         HealthReported,
         InstanceListSeen,
         UpstreamStatus,
     )
-    from turmerictiller.fronts import Configuration, Server
+    from turmerictiller.core.fronts import Configuration, Server
 
 KEPT_DRAINING_INCARNATIONS = 4
 MAX_SNAPSHOT_CHARS = 64
--- a/turmerictiller/outliers.py
+++ b/turmerictiller/core/servers/outliers.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.budgets import take_hedge_token
+from turmerictiller.core.servers.budgets import take_hedge_token
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from turmerictiller.state import ServerState, State
+    from turmerictiller.core.state import ServerState, State
 
 OUTLIER_FACTOR = 3.0
 FAILURES_TO_EJECT = 3
--- a/turmerictiller/routing.py
+++ b/turmerictiller/core/servers/routing.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.limits import outstanding_limit
-from turmerictiller.outliers import in_use, readmit, review, take_probe
+from turmerictiller.core.servers.limits import outstanding_limit
+from turmerictiller.core.servers.outliers import in_use, readmit, review, take_probe
 
 if TYPE_CHECKING:
     from collections.abc import Container, Sequence
 
-    from turmerictiller.state import ServerState, State
+    from turmerictiller.core.state import ServerState, State
 
 FAST_WEIGHT = 0.5
 SLOW_WEIGHT = 0.05
--- a/turmerictiller/silence.py
+++ b/turmerictiller/core/servers/silence.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.effects import PollHealth, ResetConnections
+from turmerictiller.core.effects import PollHealth, ResetConnections
 
 if TYPE_CHECKING:
-    from turmerictiller.state import Attempt, ServerState, State
+    from turmerictiller.core.state import Attempt, ServerState, State
 
 MIN_SILENCE_MS = 100.0
 SILENCE_FACTOR = 10.0  # a call this many times slower than usual counts as silent
--- a/turmerictiller/snapshot.py
+++ b/turmerictiller/core/servers/snapshot.py
@@ -5,15 +5,15 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from turmerictiller.effects import Coverage, FetchShardMap, MissingShard
+from turmerictiller.core.effects import Coverage, FetchShardMap, MissingShard
 from turmerictiller.util.canonical import snapshot_name
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from turmerictiller.events import ShardMapSeen
-    from turmerictiller.fronts import Front
-    from turmerictiller.state import Search, ServerState, State
+    from turmerictiller.core.events import ShardMapSeen
+    from turmerictiller.core.fronts import Front
+    from turmerictiller.core.state import Search, ServerState, State
 
 MAP_RETRY_MS = 500.0
 WIDELY_SERVED_SHARE = 0.5
--- a/turmerictiller/state.py
+++ b/turmerictiller/core/state.py
@@ -8,10 +8,10 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from turmerictiller.note_state import NotesState
-from turmerictiller.peer_state import PeersState
+from turmerictiller.core.configuration.note_state import NotesState
+from turmerictiller.core.peers.peer_state import PeersState
+from turmerictiller.core.tickets.table import TicketTable
 from turmerictiller.phases import ProcessPhase
-from turmerictiller.ticket_table import TicketTable
 from turmerictiller.util.histogram import RecentTimes
 from turmerictiller.util.timers import Timers
 
@@ -19,10 +19,10 @@
 
     from turmerictiller.clock import Millis
     from turmerictiller.config import Settings
-    from turmerictiller.effects import Effect
-    from turmerictiller.events import Hit
-    from turmerictiller.fronts import Front, NoteInForce, Priority
-    from turmerictiller.quarantine import Suspect
+    from turmerictiller.core.effects import Effect
+    from turmerictiller.core.events import Hit
+    from turmerictiller.core.fronts import Front, NoteInForce, Priority
+    from turmerictiller.core.servers.suspects import Suspect
 
 
 class TimerKind(Enum):
--- a/turmerictiller/ticket_forwards.py
+++ b/turmerictiller/core/tickets/forwards.py
@@ -4,25 +4,25 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.attempts import wire_id
-from turmerictiller.effects import ForwardRun
-from turmerictiller.errors import Ran, Refusal, RefusalType
-from turmerictiller.peer_membership import is_known_address
-from turmerictiller.state import TimerKind
-from turmerictiller.ticket_replies import (
+from turmerictiller.core.effects import ForwardRun
+from turmerictiller.core.peers.peer_membership import is_known_address
+from turmerictiller.core.servers.attempts import wire_id
+from turmerictiller.core.state import TimerKind
+from turmerictiller.core.tickets.replies import (
     REFUSED,
     RETRY_AFTER_MS,
     parse_refusal,
     reply_outcome,
     reply_refusal,
 )
-from turmerictiller.ticket_runs import budget_of
-from turmerictiller.ticket_table import Outcome, Waiter
+from turmerictiller.core.tickets.runs import budget_of
+from turmerictiller.core.tickets.table import Outcome, Waiter
+from turmerictiller.errors import Ran, Refusal, RefusalType
 
 if TYPE_CHECKING:
-    from turmerictiller.events import ForwardAnswered, ForwardFailed, RunArrived
-    from turmerictiller.state import State
-    from turmerictiller.ticket_codec import Ticket
+    from turmerictiller.core.events import ForwardAnswered, ForwardFailed, RunArrived
+    from turmerictiller.core.state import State
+    from turmerictiller.core.tickets.codec import Ticket
 
 NOT_OWNER = "not_owner"  # another incarnation answered at the owner's address
 OWNER_RESTARTED = Outcome("unknown", reason="owner_restarted")
--- a/turmerictiller/ticket_replies.py
+++ b/turmerictiller/core/tickets/replies.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.effects import AnswerForward, ReplyOutcome, ReplyRefusal
+from turmerictiller.core.effects import AnswerForward, ReplyOutcome, ReplyRefusal
 from turmerictiller.errors import Ran, Refusal, RefusalType
 
 if TYPE_CHECKING:
-    from turmerictiller.state import State
-    from turmerictiller.ticket_table import Outcome, Waiter
+    from turmerictiller.core.state import State
+    from turmerictiller.core.tickets.table import Outcome, Waiter
 
 RETRY_AFTER_MS = 200
 REFUSED = "refused"
--- a/turmerictiller/ticket_runs.py
+++ b/turmerictiller/core/tickets/runs.py
@@ -5,26 +5,32 @@
 import math
 from typing import TYPE_CHECKING
 
-from turmerictiller.attempts import (
+from turmerictiller.core.effects import CancelAttempt, SendRun
+from turmerictiller.core.events import FailureKind
+from turmerictiller.core.servers.attempts import (
     close_attempt,
     new_attempt,
     observe_answer,
     observe_failure,
     wire_id,
 )
-from turmerictiller.effects import CancelAttempt, SendRun
-from turmerictiller.events import FailureKind
-from turmerictiller.membership import observe_status
-from turmerictiller.routing import choose_server, servers_with
-from turmerictiller.state import TimerKind
-from turmerictiller.ticket_replies import RETRY_AFTER_MS, reply_outcome
-from turmerictiller.ticket_table import ANSWER_NOT_KEPT, Outcome, RecordState, Run, TicketRecord
+from turmerictiller.core.servers.membership import observe_status
+from turmerictiller.core.servers.routing import choose_server, servers_with
+from turmerictiller.core.state import TimerKind
+from turmerictiller.core.tickets.replies import RETRY_AFTER_MS, reply_outcome
+from turmerictiller.core.tickets.table import (
+    ANSWER_NOT_KEPT,
+    Outcome,
+    RecordState,
+    Run,
+    TicketRecord,
+)
 
 if TYPE_CHECKING:
     from typing import Any
 
-    from turmerictiller.events import AttemptFailed, RunAnswered
-    from turmerictiller.state import Attempt, ServerState, State
+    from turmerictiller.core.events import AttemptFailed, RunAnswered
+    from turmerictiller.core.state import Attempt, ServerState, State
 
 MAX_RETRY_AFTER_MS = 60_000
 
--- a/turmerictiller/tickets.py
+++ b/turmerictiller/core/tickets/tickets.py
@@ -5,21 +5,20 @@
 import math
 from typing import TYPE_CHECKING, Any
 
-from turmerictiller.effects import ReplyRefusal, ReplyTicket
-from turmerictiller.errors import Ran, Refusal, RefusalType, TicketError
-from turmerictiller.lifecycle import is_closing, shutting_down
-from turmerictiller.state import TimerKind
-from turmerictiller.ticket_codec import (
+from turmerictiller.core.effects import ReplyRefusal, ReplyTicket
+from turmerictiller.core.lifecycle import is_closing, shutting_down
+from turmerictiller.core.state import TimerKind
+from turmerictiller.core.tickets.codec import (
     Ticket,
     decode_ticket,
     encode_ticket,
     ticket_key,
     verify_ticket,
 )
-from turmerictiller.ticket_forwards import OWNER_RESTARTED, forward, on_forward_deadline
-from turmerictiller.ticket_replies import RETRY_AFTER_MS, reply_outcome, reply_refusal
-from turmerictiller.ticket_runs import budget_of, on_run_deadline, shortest_budget, start_run
-from turmerictiller.ticket_table import (
+from turmerictiller.core.tickets.forwards import OWNER_RESTARTED, forward, on_forward_deadline
+from turmerictiller.core.tickets.replies import RETRY_AFTER_MS, reply_outcome, reply_refusal
+from turmerictiller.core.tickets.runs import budget_of, on_run_deadline, shortest_budget, start_run
+from turmerictiller.core.tickets.table import (
     MAY_RUN,
     Outcome,
     RecordState,
@@ -28,15 +27,16 @@
     TicketRecord,
     Waiter,
 )
+from turmerictiller.errors import Ran, Refusal, RefusalType, TicketError
 
 if TYPE_CHECKING:
-    from turmerictiller.events import (
+    from turmerictiller.core.events import (
         CallerGone,
         RunArrived,
         RunForwarded,
         TicketRequested,
     )
-    from turmerictiller.state import State
+    from turmerictiller.core.state import State
 
 MAX_WIRE_ID_CHARS = 128
 NO_SERVICE = Refusal(RefusalType.UNKNOWN_SERVICE, "the front has no such service")
--- a/turmerictiller/forwarding/effects.py
+++ b/turmerictiller/forwarding/effects.py
@@ -10,7 +10,7 @@
     from turmerictiller.errors import Refusal
     from turmerictiller.forwarding.events import UpstreamAnswer
     from turmerictiller.forwarding.model import CallerLimits
-    from turmerictiller.forwarding.peers import Hello
+    from turmerictiller.forwarding.peer_model import Hello
 
 
 @dataclass(frozen=True, slots=True)
--- a/turmerictiller/forwarding/events.py
+++ b/turmerictiller/forwarding/events.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
     from turmerictiller.forwarding.model import Configuration, ServerEntry
-    from turmerictiller.forwarding.peers import Hello
+    from turmerictiller.forwarding.peer_model import Hello
     from turmerictiller.forwarding.settings import ForwardingSettings
 
 
--- /dev/null
+++ b/turmerictiller/forwarding/peer_model.py
@@ -0,0 +1,48 @@
+"""Data about other instances, and what instances tell each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from turmerictiller.clock import Millis
+
+
+@dataclass(frozen=True, slots=True)
+class PeerEntry:
+    """What is told of an instance.
+
+    :param age_ms: time since it was last heard, by anyone.
+    """
+
+    id: str
+    address: str
+    incarnation: int
+    age_ms: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """What one instance tells another.
+
+    :param crashes_by_fingerprint: calls that crashed a server, by request, as the sender saw it.
+    :param version: version of its configuration; 0 without one.
+    :param wants_documents: the sender can not read them where they are published.
+    """
+
+    sender: PeerEntry
+    leaving: bool
+    entries: tuple[PeerEntry, ...]
+    crashes_by_fingerprint: dict[int, int]
+    version: int
+    wants_documents: bool
+
+
+@dataclass(slots=True)
+class PeerState:
+    """Another instance."""
+
+    address: str
+    incarnation: int
+    heard_at: Millis
--- a/turmerictiller/forwarding/peers.py
+++ b/turmerictiller/forwarding/peers.py
@@ -8,15 +8,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from turmerictiller.forwarding.effects import AskPeer, LogDecision
+from turmerictiller.forwarding.peer_model import Hello, PeerEntry, PeerState
 from turmerictiller.forwarding.state import TimerKind
 from turmerictiller.phases import ProcessPhase
 
 if TYPE_CHECKING:
-    from turmerictiller.clock import Millis
     from turmerictiller.forwarding.events import PeerHeard
     from turmerictiller.forwarding.state import State
 
@@ -33,45 +32,6 @@
 SEED_SHARE = 0.2  # of the questions go to addresses from the settings, so that partitions heal
 
 
-@dataclass(frozen=True, slots=True)
-class PeerEntry:
-    """What is told of an instance.
-
-    :param age_ms: time since it was last heard, by anyone.
-    """
-
-    id: str
-    address: str
-    incarnation: int
-    age_ms: Millis
-
-
-@dataclass(frozen=True, slots=True)
-class Hello:
-    """What one instance tells another.
-
-    :param crashes_by_fingerprint: calls that crashed a server, by request, as the sender saw it.
-    :param version: version of its configuration; 0 without one.
-    :param wants_documents: the sender can not read them where they are published.
-    """
-
-    sender: PeerEntry
-    leaving: bool
-    entries: tuple[PeerEntry, ...]
-    crashes_by_fingerprint: dict[int, int]
-    version: int
-    wants_documents: bool
-
-
-@dataclass(slots=True)
-class PeerState:
-    """Another instance."""
-
-    address: str
-    incarnation: int
-    heard_at: Millis
-
-
 def start_exchanges(state: State) -> None:
     """Begin to ask other instances."""
     if not state.exchanges_started and state.settings.peer_address:
--- a/turmerictiller/forwarding/quarantine.py
+++ b/turmerictiller/forwarding/quarantine.py
@@ -7,13 +7,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from turmerictiller.forwarding.effects import LogDecision
+from turmerictiller.forwarding.state import Suspect
 
 if TYPE_CHECKING:
-    from turmerictiller.clock import Millis
     from turmerictiller.forwarding.state import Attempt, ServerState, State
 
 CRASH_WINDOW_MS = 2_000.0  # a server that crashed is back after some seconds
@@ -23,16 +22,6 @@
 MAX_SUSPECTS = 256
 
 
-@dataclass(slots=True)
-class Suspect:
-    """A request that may crash servers."""
-
-    crashes: int = 0
-    calls: set[int] = field(default_factory=set)
-    until: Millis = float("-inf")
-    last_at: Millis = 0.0
-
-
 def on_broken_off(state: State, server: ServerState, attempt: Attempt) -> None:
     """Remember an attempt that its server broke off, until it shows whether the server crashed."""
     server.broken.append((state.now, attempt.fingerprint, attempt.call_id))
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -18,8 +18,7 @@
     from turmerictiller.forwarding.effects import Effect
     from turmerictiller.forwarding.events import UpstreamAnswer
     from turmerictiller.forwarding.model import Configuration, Route, ServerEntry
-    from turmerictiller.forwarding.peers import PeerState
-    from turmerictiller.forwarding.quarantine import Suspect
+    from turmerictiller.forwarding.peer_model import PeerState
     from turmerictiller.forwarding.settings import ForwardingSettings
 
 TIMES_PER_UPDATE = 16  # answers after which the quantiles of a route are computed again
@@ -174,6 +173,16 @@
     is_extra: bool = False
 
 
+@dataclass(slots=True)
+class Suspect:
+    """A request that may crash servers."""
+
+    crashes: int = 0
+    calls: set[int] = field(default_factory=set)
+    until: Millis = float("-inf")
+    last_at: Millis = 0.0
+
+
 @dataclass(slots=True)
 class State:
     """Everything that the decisions depend on.
--- a/turmerictiller/replay.py
+++ b/turmerictiller/recording/replay.py
@@ -8,19 +8,19 @@
 import orjson
 from pydantic import ValidationError
 
-from turmerictiller.codec import Context, decode, loads
 from turmerictiller.config import Settings
+from turmerictiller.core.reducer import recover, reduce
+from turmerictiller.core.state import State, new_state
 from turmerictiller.errors import TraceError
-from turmerictiller.reducer import recover, reduce
-from turmerictiller.state import State, new_state
-from turmerictiller.trace import FORMAT, effects_digest, error_digest
+from turmerictiller.recording.codec import Context, decode, loads
+from turmerictiller.recording.trace import FORMAT, effects_digest, error_digest
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from turmerictiller.effects import Effect
-    from turmerictiller.events import Event
-    from turmerictiller.trace import Reduce
+    from turmerictiller.core.effects import Effect
+    from turmerictiller.core.events import Event
+    from turmerictiller.recording.trace import Reduce
 
 
 @dataclass(frozen=True)
--- a/turmerictiller/trace.py
+++ b/turmerictiller/recording/trace.py
@@ -21,19 +21,19 @@
 import orjson
 
 from turmerictiller import __version__
-from turmerictiller.codec import SECRET, dumps
+from turmerictiller.core.reducer import reduce
 from turmerictiller.errors import TraceError
-from turmerictiller.reducer import reduce
+from turmerictiller.recording.codec import SECRET, dumps
 
 if TYPE_CHECKING:
     from turmerictiller.config import Settings
-    from turmerictiller.effects import Effect
-    from turmerictiller.events import Event
-    from turmerictiller.state import State
+    from turmerictiller.core.effects import Effect
+    from turmerictiller.core.events import Event
+    from turmerictiller.core.state import State
 
     Reduce = Callable[[State, Event], list[Effect]]
 
-FORMAT = 1
+FORMAT = 2
 DIGEST_BYTES = 8
 CHECKPOINT_SHARE = 0.01  # of the time
 QUIET_FROM = 0.75  # share of a segment after which a quiet moment starts the next one
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable, Sequence
 
     from turmerictiller.forwarding.effects import AskPeer
-    from turmerictiller.forwarding.peers import Hello
+    from turmerictiller.forwarding.peer_model import Hello
     from turmerictiller.transport.http_server import ServerConnection
     from turmerictiller.transport.messages import RawRequest, RawResponse
     from turmerictiller.transport.peer_messages import Document
--- a/turmerictiller/transport/peer_messages.py
+++ b/turmerictiller/transport/peer_messages.py
@@ -10,7 +10,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from turmerictiller.errors import FrameError
-from turmerictiller.forwarding.peers import Hello, PeerEntry
+from turmerictiller.forwarding.peer_model import Hello, PeerEntry
 from turmerictiller.util.wire_checks import MAX_LIST_LENGTH, integer, ip_address, text
 from turmerictiller.wire.instances import constants, ttypes
 
