Share among instances which servers answer slowly

Each of 68 instances asks a server once in four seconds and forgets within 0.6 s, so it knew none of this, and queues grew at the slow servers.

Ruled out: a third attempt (the route allows two servers); the budget of second attempts (14% used, some 50% allowed); longer memory of own answers (one answer in four seconds can not tell a slow server from one that stood still for 150 ms).

Change: in each exchange, instances average the weights of slow answers per server. Both keep half of the sum, so all weights together stay those of the answers however often they are told. What an instance assumes by itself weighs as much as its own attempts of one second, so the same rule holds for 9 instances and for 68. An answer that is not slow clears it. An instance without others behaves as before.

--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -12,7 +12,7 @@
 from turmerictiller.errors import FrameError, Ran, RefusalType
 from turmerictiller.forwarding.effects import AskPeer, Refuse
 from turmerictiller.forwarding.events import Failure, PeerHeard
-from turmerictiller.forwarding.peer_model import Hello, PeerEntry
+from turmerictiller.forwarding.peer_model import Hello, PeerEntry, SlowServer
 from turmerictiller.forwarding.peers import (
     ASSUMED_INSTANCES,
     KEEP_NUMBER_MS,
@@ -54,8 +54,9 @@
             own = driver.state.settings.peer_address
             if asked is None or own in cut or effect.address in cut:
                 continue
+            answer = own_hello(asked.state)
             asked.give(PeerHeard(asked.now, effect.hello))
-            driver.give(PeerHeard(driver.now, own_hello(asked.state)))
+            driver.give(PeerHeard(driver.now, answer))
 
 
 def test_all_instances_find_each_other_through_seeds() -> None:
@@ -154,6 +155,9 @@
     st.dictionaries(st.integers(0, 2**56 - 1), st.integers(0, 2**31 - 1), max_size=5),
     st.integers(0, 2**62),
     st.booleans(),
+    st.lists(
+        st.builds(SlowServer, st.text(max_size=20), st.floats(0, 32), st.floats(0, 100)), max_size=5
+    ).map(tuple),
 )
 DOCUMENTS = st.lists(
     st.builds(
--- /dev/null
+++ b/tests/forwarding/test_shared_slowness.py
@@ -0,0 +1,120 @@
+"""Tests of what instances learn from each other about slow servers."""
+
+from __future__ import annotations
+
+import random
+from itertools import permutations
+
+import pytest
+
+from tests.forwarding.driving import Driver
+from tests.forwarding.playing import Play
+from tests.forwarding.test_peers import exchange_all, instance
+from turmerictiller.forwarding.events import PeerHeard
+from turmerictiller.forwarding.peers import own_hello
+from turmerictiller.forwarding.shared_slowness import (
+    observe_slowness,
+    slow_servers,
+    with_shared,
+)
+
+SLOW_SERVERS = 16  # of 108, as on the grown sites
+SLOW_FACTOR = 11.0
+
+
+def play_of_slow_servers(seed: int) -> Play:
+    """Return a play in which servers of many shards are slow from the tenth second on.
+
+    Every server also stands still for 150 ms of each 3.6 s.
+    """
+    rng = random.Random(seed)
+    names = [f"s{shard}-{number}" for shard in range(36) for number in (1, 2, 3)]
+    slow = set(rng.sample(names, SLOW_SERVERS))
+    phase = {name: rng.uniform(0, 3_600) for name in names}
+
+    def work_ms(name: str, at: float) -> float:
+        ms = 22.5 * rng.lognormvariate(0, 0.35)
+        if name in slow and at >= 11_000:
+            ms *= SLOW_FACTOR
+        since_pause = (at + phase[name]) % 3_600
+        return ms + max(0.0, 150 - since_pause)
+
+    return Play(68, 36, 149.0, 0.95, work_ms, seed=seed)
+
+
+def test_searches_are_in_time_though_servers_of_many_shards_are_slow() -> None:
+    """Guards against instances that each have to find out for themselves which servers are slow."""
+    play = play_of_slow_servers(seed=1)
+    play.run(per_second=50, seconds=19)
+    assert play.share_in_time(5_000, 11_000) >= 0.97
+    assert play.share_in_time(13_000, 19_000) >= 0.99
+
+
+def slow_answers(driver: Driver, server_id: str, number: int) -> None:
+    """Let a server answer some times after eight times the usual time."""
+    for _ in range(number):
+        driver.wait(50)
+        observe_slowness(driver.state, driver.state.servers_by_id[server_id], 8.0)
+
+
+def weights(drivers: list[Driver], server_id: str) -> float:
+    """Return the sum over all instances of the weight of slow answers."""
+    told = [item for driver in drivers for item in slow_servers(driver.state)]
+    return sum(item.weight for item in told if item.server_id == server_id)
+
+
+def test_weights_stay_those_of_the_answers_however_often_they_are_told() -> None:
+    """Guards against one slow answer that is believed by all because each repeats it."""
+    drivers = [instance(number) for number in range(1, 9)]
+    slow_answers(drivers[0], "a-1", 8)
+    for driver in drivers:
+        driver.now = drivers[0].now
+    assert weights(drivers, "a-1") == 8
+    for first, second in [*zip(drivers, drivers[1:], strict=False), *permutations(drivers[:3], 2)]:
+        question, answer = own_hello(first.state), own_hello(second.state)
+        first.give(PeerHeard(first.now, answer))
+        second.give(PeerHeard(second.now, question))
+    assert weights(drivers, "a-1") == pytest.approx(8)
+
+
+def test_one_slow_answer_is_not_believed_by_all() -> None:
+    """Guards against servers that are avoided for seconds because they stood still for a moment."""
+    drivers = [instance(number) for number in range(1, 9)]
+    for driver in drivers:
+        for _ in range(60):
+            call_id = driver.request("/one/x")
+            driver.wait(15)
+            for sent in driver.sent(call_id):
+                driver.answer(sent)
+    slow_answers(drivers[0], "a-1", 1)
+    exchange_all(drivers, 3)
+    for driver in drivers:
+        server = driver.state.servers_by_id["a-1"]
+        assert with_shared(driver.state, server, 1.0) < 2
+
+
+def test_server_that_is_slow_for_several_instances_is_avoided_by_one_that_never_asked_it() -> None:
+    """Guards against queues that grow at a slow server because each instance asks it once."""
+    drivers = [instance(number) for number in range(1, 9)]
+    exchange_all(drivers, 4)
+    for _ in range(4):
+        for driver in drivers[:6]:
+            slow_answers(driver, "a-1", 2)
+            driver.now -= 100
+        exchange_all(drivers, 1)
+    driver = drivers[-1]
+    asked = {driver.sent(driver.request("/one/x"))[0].server_id for _ in range(3)}
+    assert "a-1" not in asked
+
+
+def test_server_that_answers_fast_again_is_used() -> None:
+    """Guards against what was told for longer than it is true."""
+    drivers = [instance(number) for number in (1, 2)]
+    driver = drivers[0]
+    server = driver.state.servers_by_id["a-1"]
+    slow_answers(driver, "a-1", 3)
+    driver.now -= 150
+    exchange_all(drivers, 3)
+    assert with_shared(driver.state, server, 1.0) > 4
+    observe_slowness(driver.state, server, 1.0)
+    assert with_shared(driver.state, server, 1.0) == 1.0
--- a/turmerictiller/forwarding/choice.py
+++ b/turmerictiller/forwarding/choice.py
@@ -8,6 +8,7 @@
 from turmerictiller.forwarding.effects import LogDecision
 from turmerictiller.forwarding.limits import connection_limit, cut, has_room, raise_or_cut
 from turmerictiller.forwarding.servers import is_last_resort
+from turmerictiller.forwarding.shared_slowness import SLOW_FACTOR, observe_slowness, with_shared
 from turmerictiller.forwarding.state import service_state
 
 if TYPE_CHECKING:
@@ -98,7 +99,8 @@
     entry = server.entry
     load = 1 + len(server.outstanding) / max(1, entry.slots)
     trouble = server.trouble * _decay(state, server)
-    cost = current_slowness(state, server) * load + TROUBLE_COST * trouble
+    slowness = with_shared(state, server, current_slowness(state, server))
+    cost = slowness * load + TROUBLE_COST * trouble
     if entry.domain != state.settings.failure_domain:
         cost += OTHER_DOMAIN_COST
     if entry.cold_ms and state.now - server.added_at < entry.cold_ms:
@@ -140,6 +142,7 @@
     _age_observations(state, server)
     server.trouble *= 1 - TROUBLE_WEIGHT
     if times.typical_ms > 0:
+        observe_slowness(state, server, ms / times.typical_ms)
         server.slowness += SLOWNESS_WEIGHT * (ms / times.typical_ms - server.slowness)
 
 
@@ -148,6 +151,8 @@
     _age_observations(state, server)
     if times.typical_ms > 0 and ms / times.typical_ms > server.slowness:
         server.slowness += SLOWNESS_WEIGHT * (ms / times.typical_ms - server.slowness)
+        if ms / times.typical_ms >= SLOW_FACTOR:
+            observe_slowness(state, server, ms / times.typical_ms)
 
 
 def observe_not_run(state: State, server: ServerState) -> None:
--- a/turmerictiller/forwarding/peer_model.py
+++ b/turmerictiller/forwarding/peer_model.py
@@ -22,6 +22,19 @@
     age_ms: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class SlowServer:
+    """What is told of a server with slow answers.
+
+    :param weight: number of slow answers, less by age and by what others were told.
+    :param slowness: their times as a multiple of the usual one.
+    """
+
+    server_id: str
+    weight: float
+    slowness: float
+
+
 @dataclass(frozen=True, slots=True)
 class Hello:
     """What one instance tells another.
@@ -37,6 +50,7 @@
     crashes_by_fingerprint: dict[int, int]
     version: int
     wants_documents: bool
+    slow_servers: tuple[SlowServer, ...] = ()
 
 
 @dataclass(slots=True)
--- a/turmerictiller/forwarding/peers.py
+++ b/turmerictiller/forwarding/peers.py
@@ -12,6 +12,7 @@
 
 from turmerictiller.forwarding.effects import AskPeer, LogDecision
 from turmerictiller.forwarding.peer_model import Hello, PeerEntry, PeerState
+from turmerictiller.forwarding.shared_slowness import on_slowness_told, slow_servers
 from turmerictiller.forwarding.state import TimerKind
 from turmerictiller.phases import ProcessPhase
 
@@ -64,6 +65,7 @@
         if entry.age_ms < PEER_LIFE_MS:
             _take(state, entry)
     _note_number(state)
+    on_slowness_told(state, hello)
     own = state.own_incarnation
     state.crashes_by_peer[hello.sender.id] = (
         hello.crashes_by_fingerprint if hello.sender.incarnation != own else {}
@@ -124,4 +126,5 @@
         {number: suspect.crashes for number, suspect in state.suspects_by_fingerprint.items()},
         configuration.version if configuration else 0,
         configuration is None or not state.servers_listed or state.registry_lost,
+        slow_servers(state),
     )
--- /dev/null
+++ b/turmerictiller/forwarding/shared_slowness.py
@@ -0,0 +1,106 @@
+"""Slowness of servers as all instances together see it.
+
+The load that this answers: 68 instances share 108 servers, a seventh of which become ten times slower
+for some seconds. One instance asks a server once in four seconds, so it would meet each slow server
+for itself, and the queues there would grow meanwhile.
+
+Instances tell each other the weights of their slow answers. In each exchange both keep half of the sum,
+so all weights together stay those of the answers, however often they are told. One slow answer, such
+as one from a server that stood still for a moment, soon weighs little everywhere; a slow server has
+slow answers at many instances, whose weights add up.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from turmerictiller.forwarding.peer_model import SlowServer
+from turmerictiller.forwarding.state import service_state
+
+if TYPE_CHECKING:
+    from turmerictiller.forwarding.peer_model import Hello
+    from turmerictiller.forwarding.state import ServerState, State
+
+SLOW_FACTOR = 3.0  # noise makes a server 2.5 times slower for a while
+# Slow phases last for seconds. Weights are told within two, and must be gone a few seconds later.
+HALF_LIFE_MS = 1_500.0
+# What an instance assumes by itself weighs as much as its own attempts of this time. Slow answers of
+# a slow server come to twice that at each instance, those of one that stood still for 150 ms to a tenth.
+OWN_WEIGHT_MS = 1_000.0
+LEAST_WEIGHT = 0.02  # a slow answer that was shared among 50 instances
+MAX_TOLD = 64
+
+
+def observe_slowness(state: State, server: ServerState, slowness: float) -> None:
+    """Take one answer time, as a multiple of the usual one, into what other instances are told."""
+    if slowness < SLOW_FACTOR:
+        _clear(state, server)
+        return
+    _average(state, server, 1.0, slowness)
+    server.slow_untold += 1.0
+    state.slow_server_ids[server.entry.id] = None
+
+
+def on_slowness_told(state: State, hello: Hello) -> None:
+    """Keep half of what this instance and another one know together."""
+    for server_id in list(state.slow_server_ids):
+        server = state.servers_by_id.get(server_id)
+        if server is None:
+            del state.slow_server_ids[server_id]
+            continue
+        weight = _weight_to_tell(state, server) / 2
+        if weight < LEAST_WEIGHT:
+            _clear(state, server)
+        else:
+            server.slow_untold, server.slow_weight, server.slow_at = 0.0, weight, state.now
+    for told in hello.slow_servers:
+        server = state.servers_by_id.get(told.server_id)
+        if server is not None and told.weight > 0:
+            _average(state, server, told.weight / 2, told.slowness)
+            server.slow_weight = shared_weight(state, server) + told.weight / 2
+            server.slow_at = state.now
+            state.slow_server_ids[server.entry.id] = None
+
+
+def slow_servers(state: State) -> tuple[SlowServer, ...]:
+    """Return what is told to another instance, the heaviest first."""
+    known = [
+        SlowServer(server_id, weight, server.slow_slowness)
+        for server_id in state.slow_server_ids
+        if (server := state.servers_by_id.get(server_id)) is not None
+        and (weight := _weight_to_tell(state, server)) >= LEAST_WEIGHT
+    ]
+    return tuple(sorted(known, key=lambda told: told.weight, reverse=True)[:MAX_TOLD])
+
+
+def with_shared(state: State, server: ServerState, own_slowness: float) -> float:
+    """Return the expected slowness from what this instance assumes and what all have seen."""
+    if not server.slow_weight:
+        return own_slowness
+    service = service_state(state, server.entry.service)
+    window_ms = state.settings.extra_window_ms
+    attempts = service.first_attempts.value(state.now) / max(1, len(service.servers_by_id))
+    own_weight = max(LEAST_WEIGHT, attempts * OWN_WEIGHT_MS / window_ms)
+    weight = shared_weight(state, server)
+    shared = (weight * server.slow_slowness + own_weight * own_slowness) / (weight + own_weight)
+    return max(own_slowness, shared)
+
+
+def shared_weight(state: State, server: ServerState) -> float:
+    """Return the weight of slow answers that were told, by their age."""
+    return server.slow_weight * math.pow(0.5, (state.now - server.slow_at) / HALF_LIFE_MS)
+
+
+def _weight_to_tell(state: State, server: ServerState) -> float:
+    return shared_weight(state, server) + server.slow_untold
+
+
+def _average(state: State, server: ServerState, weight: float, slowness: float) -> None:
+    known = _weight_to_tell(state, server)
+    server.slow_slowness = (known * server.slow_slowness + weight * slowness) / (known + weight)
+
+
+def _clear(state: State, server: ServerState) -> None:
+    server.slow_weight = server.slow_untold = 0.0
+    state.slow_server_ids.pop(server.entry.id, None)
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -56,6 +56,9 @@
     :param broken: attempts that it broke off, as time, fingerprint and call.
     :param removed_at: when its entry was removed; ``None`` while there is one.
     :param draining_at: when it was first seen draining.
+    :param slow_untold: number of slow answers that no other instance was told.
+    :param slow_weight: this one's share of the slow answers of all instances, at ``slow_at``.
+    :param slow_slowness: times of those answers as a multiple of the usual one.
     """
 
     entry: ServerEntry
@@ -75,6 +78,10 @@
     broken: list[tuple[Millis, int, int]] = field(default_factory=list)
     removed_at: Millis | None = None
     draining_at: Millis | None = None
+    slow_untold: float = 0.0
+    slow_weight: float = 0.0
+    slow_slowness: float = 1.0
+    slow_at: Millis = 0.0
 
 
 @dataclass(slots=True)
@@ -207,6 +214,7 @@
     exchanges_started: bool = False
     own_incarnation: int = 0
     peers_by_id: dict[str, PeerState] = field(default_factory=dict)
+    slow_server_ids: dict[str, None] = field(default_factory=dict)
     most_instances: int = 1
     most_instances_at: Millis = 0.0
     suspects_by_fingerprint: dict[int, Suspect] = field(default_factory=dict)
--- a/turmerictiller/instances.thrift
+++ b/turmerictiller/instances.thrift
@@ -28,6 +28,15 @@
   3: optional binary value,
 }
 
+/** A server with slow answers. */
+struct SlowServer {
+  1: string server_id,
+  /** Number of slow answers, less by age and by what other instances were told. */
+  2: double weight,
+  /** Times of these answers as a multiple of the usual one. */
+  3: double slowness,
+}
+
 /** Question and answer of one exchange. */
 struct Exchange {
   1: i16 protocol,
@@ -38,4 +47,5 @@
   6: i64 configuration_version,
   7: bool wants_documents,
   8: list<Document> documents,
+  9: optional list<SlowServer> slow_servers,
 }
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -85,11 +85,13 @@
             self._take(response.body)
 
     def _on_request(self, connection: ServerConnection, raw: RawRequest) -> None:
+        # What is told of slow servers is shared in halves, so the answer is from before the question.
+        answer = own_hello(self.shell.state)
         hello = self._take(raw.body) if raw.target == TARGET else None
         if hello is None:
             connection.answer(write_response(400, b"Bad Request", [], b"", True), True)
             return
-        body = write_exchange(own_hello(self.shell.state), self._owed(hello))
+        body = write_exchange(answer, self._owed(hello))
         connection.answer(write_response(200, b"OK", [], body, False), False)
 
     def _take(self, body: bytes) -> Hello | None:
--- a/turmerictiller/transport/peer_messages.py
+++ b/turmerictiller/transport/peer_messages.py
@@ -10,8 +10,8 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from turmerictiller.errors import FrameError
-from turmerictiller.forwarding.peer_model import Hello, PeerEntry
-from turmerictiller.util.wire_checks import MAX_LIST_LENGTH, integer, ip_address, text
+from turmerictiller.forwarding.peer_model import Hello, PeerEntry, SlowServer
+from turmerictiller.util.wire_checks import MAX_LIST_LENGTH, finite, integer, ip_address, text
 from turmerictiller.wire.instances import constants, ttypes
 
 if TYPE_CHECKING:
@@ -21,6 +21,9 @@
 MAX_DOCUMENTS = 4_096
 # Ages and counts are at most this; larger ones are cut, because the wire holds 32 bits.
 MAX_SMALL = 2**31 - 1
+# Bounds of what one instance can make others believe: a server that is slow for a few seconds.
+MAX_SLOW_WEIGHT = 32.0
+MAX_SLOWNESS = 100.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +52,10 @@
             ttypes.Document(key=item.key, revision=item.revision, value=item.value)
             for item in documents
         ],
+        slow_servers=[
+            ttypes.SlowServer(server_id=item.server_id, weight=item.weight, slowness=item.slowness)
+            for item in hello.slow_servers
+        ],
     )
     buffer = TMemoryBuffer()
     message.write(TBinaryProtocolAccelerated(buffer))
@@ -79,6 +86,7 @@
         crashes,
         integer(message.configuration_version, "configuration_version"),
         bool(message.wants_documents),
+        tuple(_slow_server(item) for item in _items(message.slow_servers or [], MAX_LIST_LENGTH)),
     )
     return hello, [_document(item) for item in _items(message.documents, MAX_DOCUMENTS)]
 
@@ -103,6 +111,14 @@
     )
 
 
+def _slow_server(item: Any) -> SlowServer:
+    return SlowServer(
+        text(item.server_id, "server_id", MAX_ID_CHARS),
+        min(MAX_SLOW_WEIGHT, finite(item.weight, "weight")),
+        min(MAX_SLOWNESS, finite(item.slowness, "slowness")),
+    )
+
+
 def _document(item: Any) -> Document:
     value = item.value
     if value is not None and not isinstance(value, bytes):
--- a/turmerictiller/wire/instances/ttypes.py
+++ b/turmerictiller/wire/instances/ttypes.py
@@ -294,6 +294,100 @@
         return not (self == other)
 
 
+class SlowServer(object):
+    """
+    A server with slow answers.
+
+    Attributes:
+     - server_id
+     - weight: Number of slow answers, less by age and by what other instances were told.
+     - slowness: Times of these answers as a multiple of the usual one.
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'weight',
+        'slowness',
+    )
+
+
+    def __init__(self, server_id=None, weight=None, slowness=None,):
+        self.server_id = server_id
+        self.weight = weight
+        self.slowness = slowness
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.weight = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.slowness = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlowServer')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.weight is not None:
+            oprot.writeFieldBegin('weight', TType.DOUBLE, 2)
+            oprot.writeDouble(self.weight)
+            oprot.writeFieldEnd()
+        if self.slowness is not None:
+            oprot.writeFieldBegin('slowness', TType.DOUBLE, 3)
+            oprot.writeDouble(self.slowness)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Exchange(object):
     """
     Question and answer of one exchange.
@@ -307,6 +401,7 @@
      - configuration_version
      - wants_documents
      - documents
+     - slow_servers
 
     """
 
@@ -319,10 +414,11 @@
         'configuration_version',
         'wants_documents',
         'documents',
+        'slow_servers',
     )
 
 
-    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, suspicions=None, configuration_version=None, wants_documents=None, documents=None,):
+    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, suspicions=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None,):
         self.protocol = protocol
         self.sender = sender
         self.leaving = leaving
@@ -331,6 +427,7 @@
         self.configuration_version = configuration_version
         self.wants_documents = wants_documents
         self.documents = documents
+        self.slow_servers = slow_servers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -400,6 +497,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.slow_servers = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = SlowServer()
+                        _elem23.read(iprot)
+                        self.slow_servers.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -425,15 +533,15 @@
         if self.instances is not None:
             oprot.writeFieldBegin('instances', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.instances))
-            for iter18 in self.instances:
-                iter18.write(oprot)
+            for iter24 in self.instances:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter19 in self.suspicions:
-                iter19.write(oprot)
+            for iter25 in self.suspicions:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -447,8 +555,15 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter20 in self.documents:
-                iter20.write(oprot)
+            for iter26 in self.documents:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.slow_servers is not None:
+            oprot.writeFieldBegin('slow_servers', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.slow_servers))
+            for iter27 in self.slow_servers:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -495,6 +610,13 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
 )
+all_structs.append(SlowServer)
+SlowServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'weight', None, None, ),  # 2
+    (3, TType.DOUBLE, 'slowness', None, None, ),  # 3
+)
 all_structs.append(Exchange)
 Exchange.thrift_spec = (
     None,  # 0
@@ -506,6 +628,7 @@
     (6, TType.I64, 'configuration_version', None, None, ),  # 6
     (7, TType.BOOL, 'wants_documents', None, None, ),  # 7
     (8, TType.LIST, 'documents', (TType.STRUCT, [Document, None], False), None, ),  # 8
+    (9, TType.LIST, 'slow_servers', (TType.STRUCT, [SlowServer, None], False), None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
