Let the soak cut the links to the store, and split its faults from its checks

Cause: the soak could make the store fail for all, but not cut it off from single instances, delay it, or let open connections to it go silent while new ones work.

Change: each instance reaches the store through a proxy of its own, with two faults more. Drained servers are checked in every run, except where the store could not be read meanwhile. The seeds that failed once keep the list of faults from which they chose. deployment, faults, checks and run are modules of their own.

Ruled out: proxies between instances; they tell each other their real addresses, so only a change of what is run could put a proxy between them. Clocks are not stepped, because the product uses the time of day in log lines only.

Seed 2 first printed a cancelled task of the proxy, a fault of the soak: a proxy now waits for its connections to end.

--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,158 @@
+"""The processes and proxies of one run of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from aiohttp import ClientSession
+
+from soak.callers import Book
+from soak.processes import Child
+from soak.proxy import Proxy
+from standins.shard_server import ShardServer
+from tests.platform.serving import SETTINGS, configuration, free_ports
+
+INSTANCES = 3
+SHARDS = 4
+SERVERS_PER_SERVICE = 3
+
+
+@dataclass
+class Deployment:
+    """All processes and proxies of one run.
+
+    :param drained_at_by_id: wall time at which a draining entry was acknowledged.
+    :param store_troubles: wall times from and until which instances may not read the store.
+    """
+
+    seed: int
+    folder: Path
+    rng: random.Random
+    book: Book = field(default_factory=Book)
+    version: int = 1
+    instances: list[Child] = field(default_factory=list)
+    servers: dict[str, Child] = field(default_factory=dict)
+    models_by_id: dict[str, ShardServer] = field(default_factory=dict)
+    proxies_by_id: dict[str, Proxy] = field(default_factory=dict)
+    drained_at_by_id: dict[str, float] = field(default_factory=dict)
+    store_troubles: list[tuple[float, float]] = field(default_factory=list)
+    store: Child | None = None
+    store_address: str = ""
+    store_proxies: list[Proxy] = field(default_factory=list)
+    caller_addresses: list[str] = field(default_factory=list)
+    session: ClientSession | None = None
+    faults: list[str] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Start everything."""
+        front, ready, store, peer = free_ports(4)
+        self.store_address = f"127.0.0.1:{store}"
+        self.session = ClientSession()
+        self.store = Child("store", ["-m", "standins.store", "--address", self.store_address])
+        await self.store.start()
+        names = [*(f"s{index}" for index in range(SHARDS)), "a"]
+        ports = free_ports(len(names) * SERVERS_PER_SERVICE)
+        await self._until_store_answers()
+        for name in names:
+            for index in range(SERVERS_PER_SERVICE):
+                await self._start_server(f"{name}n{index}", name, f"127.0.0.1:{ports.pop()}")
+        await self.configure(SHARDS)
+        # Ports are the same on all instances, so each run and instance has a host of its own.
+        hosts = f"127.{1 + self.seed % 200}.{1 + self.seed // 200 % 200}"
+        for number in range(1, INSTANCES + 1):
+            host = f"{hosts}.{number}"
+            link = Proxy(self.store_address)
+            await link.open()
+            self.store_proxies.append(link)
+            text = SETTINGS.format(
+                front=front,
+                ready=ready,
+                store=link.address.rpartition(":")[2],
+                peer=peer,
+                slack=500,
+                grace_s=4,
+                seeds=f'"{hosts}.1:1", "{hosts}.2:1"',
+            ).replace(f"127.0.0.1:{front}", f"{host}:{front}")
+            text = text.replace(f"127.0.0.1:{ready}", f"{host}:{ready}")
+            text = text.replace('ip = "127.0.0.1"', f'ip = "{host}"')
+            path = self.folder / f"instance-{number}.toml"
+            path.write_text(text.replace("front-here-1", f"instance-{number}"))
+            child = Child(
+                f"instance-{number}",
+                ["-m", "turmerictiller.platform"],
+                {"TURMERICTILLER_NODE_FILE": str(path)},
+            )
+            self.instances.append(child)
+            self.caller_addresses.append(f"{host}:{front}")
+            await child.start()
+
+    async def _until_store_answers(self) -> None:
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    await self.set_store("ok")
+                    return
+                except OSError:
+                    await asyncio.sleep(0.05)
+
+    async def _start_server(self, server_id: str, service: str, address: str) -> None:
+        child = Child(
+            server_id,
+            ["-m", "standins.shard_server", "--tell-runs", f"{server_id}={service}={address}"],
+        )
+        await child.start()
+        self.servers[server_id] = child
+        proxy = Proxy(address)
+        await proxy.open()
+        self.proxies_by_id[server_id] = proxy
+        self.models_by_id[server_id] = ShardServer(server_id, service, proxy.address)
+        await self.publish(server_id)
+
+    async def publish(self, server_id: str, draining: bool = False) -> None:
+        """Write the entry of a server."""
+        model = self.models_by_id[server_id]
+        model.draining = draining
+        await self._put(f"/control/item?key=servers/{server_id}", model.entry())
+
+    async def configure(self, shards: int) -> None:
+        """Publish the next version, with some of the shards."""
+        document = configuration(self.version, shards)
+        self.version += 1
+        await self._put("/control/item?key=op/config", document)
+
+    async def set_store(self, mode: str, history: bool = True) -> None:
+        """Set how the store answers readers."""
+        await self._put("/control/mode", {"mode": mode, "history": history})
+
+    async def _put(self, path: str, body: object) -> None:
+        assert self.session is not None
+        url = f"http://{self.store_address}{path}"
+        async with self.session.put(url, data=json.dumps(body)) as response:
+            await response.read()
+
+    async def behave(self, server_id: str, body: dict[str, object]) -> None:
+        """Set how a server answers."""
+        assert self.session is not None
+        try:
+            async with (
+                asyncio.timeout(2),
+                self.session.put(
+                    f"http://{self.proxies_by_id[server_id].target}/control", data=json.dumps(body)
+                ) as response,
+            ):
+                await response.read()
+        except (OSError, TimeoutError):
+            pass  # the server is down or frozen; it comes back with good behaviour or keeps it
+
+    async def end(self) -> None:
+        """End all processes and collect what they printed."""
+        children = [*self.instances, *self.servers.values(), *([self.store] if self.store else [])]
+        await asyncio.gather(*(child.end() for child in children))
+        for proxy in [*self.proxies_by_id.values(), *self.store_proxies]:
+            await proxy.close()
+        if self.session is not None:
+            await self.session.close()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -21,6 +21,7 @@
     mode: str = "ok"
     address: str = ""
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    silenced: set[asyncio.StreamWriter] = field(default_factory=set)
     _server: asyncio.Server | None = None
 
     async def open(self) -> None:
@@ -33,11 +34,17 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    def close(self) -> None:
-        """Stop listening and reset everything."""
+    def silence_open(self) -> None:
+        """Let nothing pass on the open connections any more, without a reset."""
+        self.silenced |= self.writers
+
+    async def close(self) -> None:
+        """Stop listening, reset everything, and wait until all connections have ended."""
         if self._server is not None:
             self._server.close()
         self.reset()
+        while self.writers:
+            await asyncio.sleep(DELAY_S)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
@@ -59,13 +66,14 @@
             for item in (writer, other):
                 if item is not None:
                     self.writers.discard(item)
+                    self.silenced.discard(item)
                     item.close()
 
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_back: bool
     ) -> None:
         while data := await reader.read(PIECE_BYTES):
-            while self.mode == "silent" or (is_back and self.mode == "cut_back"):
+            while self._is_silent(writer, is_back):
                 await asyncio.sleep(DELAY_S)
             if self.mode == "delay":
                 await asyncio.sleep(DELAY_S)
@@ -73,3 +81,7 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+    def _is_silent(self, writer: asyncio.StreamWriter, is_back: bool) -> bool:
+        is_cut = self.mode == "silent" or (is_back and self.mode == "cut_back")
+        return (is_cut or writer in self.silenced) and not writer.is_closing()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,21 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
+from soak.faults import FIRST_KINDS, KINDS
 from soak.run import soak
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from soak.run import Fault
+
 SECONDS = 6.0
-# The first seed stands for a run in CI. The others failed once:
+# Seeds 1 and 2 stand for a run in CI. The others failed once:
 # 300: two faults started one instance at the same time, a fault of the soak;
 # 306: an instance that had just started used a server that had been draining for four seconds.
-SEEDS = (1, 300, 306)
+SEEDS = ((1, FIRST_KINDS), (300, FIRST_KINDS), (306, FIRST_KINDS), (2, KINDS))
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_promises_hold_while_faults_overlap(seed: int) -> None:
+@pytest.mark.parametrize(("seed", "kinds"), SEEDS)
+def test_promises_hold_while_faults_overlap(seed: int, kinds: Sequence[Fault]) -> None:
     """Guards against promises that break only when faults of real processes come together."""
-    played = asyncio.run(soak(seed, SECONDS))
+    played = asyncio.run(soak(seed, SECONDS, kinds))
     assert played.book.problems == []
     assert played.book.statuses["search 200"] > 100
