Count only answers as slow, and believe no instance that finds most servers slow

An attempt without an answer counted as slow, so instances behind a partition would tell of servers that are well when it ends; and an instance that is slow itself finds all servers slow.

Change: only answers count. An instance that finds half of its last answers slow tells of none. What an instance assumes weighs at least its share of three slow answers, for services with few requests. A server that counts as slow by what others saw is logged once, and explained. The number of instances has a module of its own, because peers and shared_slowness both need it.

--- a/tests/forwarding/test_extra_attempts.py
+++ b/tests/forwarding/test_extra_attempts.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from turmerictiller.forwarding.extra_attempts import take_extra
-from turmerictiller.forwarding.peers import ASSUMED_INSTANCES
+from turmerictiller.forwarding.fleet_size import ASSUMED_INSTANCES
 from turmerictiller.forwarding.settings import ForwardingSettings
 from turmerictiller.forwarding.state import new_state, service_state
 from turmerictiller.util.window_count import WindowCount
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -12,15 +12,9 @@
 from turmerictiller.errors import FrameError, Ran, RefusalType
 from turmerictiller.forwarding.effects import AskPeer, Refuse
 from turmerictiller.forwarding.events import Failure, PeerHeard
+from turmerictiller.forwarding.fleet_size import ASSUMED_INSTANCES, KEEP_NUMBER_MS, instances
 from turmerictiller.forwarding.peer_model import Hello, PeerEntry, SlowServer
-from turmerictiller.forwarding.peers import (
-    ASSUMED_INSTANCES,
-    KEEP_NUMBER_MS,
-    LEAST_LIFE_MS,
-    MAX_PEERS,
-    instances,
-    own_hello,
-)
+from turmerictiller.forwarding.peers import LEAST_LIFE_MS, MAX_PEERS, own_hello
 from turmerictiller.forwarding.quarantine import QUARANTINE_MS
 from turmerictiller.forwarding.state import new_state
 from turmerictiller.transport.peer_messages import Document, read_exchange, write_exchange
--- a/tests/forwarding/test_shared_slowness.py
+++ b/tests/forwarding/test_shared_slowness.py
@@ -107,13 +107,49 @@
     assert "a-1" not in asked
 
 
+def test_instance_that_finds_most_servers_slow_tells_of_none() -> None:
+    """Guards against news of an instance that is slow itself, which would sway all others."""
+    driver = instance(1)
+    for _ in range(30):
+        for server_id in driver.state.servers_by_id:
+            slow_answers(driver, server_id, 1)
+    assert slow_servers(driver.state) == ()
+
+
+def test_unanswered_attempts_are_not_told_as_slow_answers() -> None:
+    """Guards against servers that all avoid because one instance was cut off from them."""
+    driver = instance(1)
+    for _ in range(20):
+        call_id = driver.request("/one/x")
+        driver.wait(10)
+        for sent in driver.sent(call_id):
+            driver.answer(sent)
+    for _ in range(5):
+        driver.request("/one/x")
+        driver.wait(2_500)
+    assert slow_servers(driver.state) == ()
+
+
+def test_belief_in_a_slow_server_is_logged_once() -> None:
+    """Guards against choices that the logs can not explain, and against a line for each exchange."""
+    drivers = [instance(number) for number in (1, 2)]
+    slow_answers(drivers[0], "a-1", 4)
+    drivers[0].now -= 200
+    exchange_all(drivers, 3)
+    lines = drivers[1].logged("server_slow")
+    assert [line.fields["server"] for line in lines] == ["a-1"]
+    observe_slowness(drivers[1].state, drivers[1].state.servers_by_id["a-1"], 1.0)
+    drivers[1].wait(1_000)
+    assert len(drivers[1].logged("server_not_slow")) == 1
+
+
 def test_server_that_answers_fast_again_is_used() -> None:
     """Guards against what was told for longer than it is true."""
     drivers = [instance(number) for number in (1, 2)]
     driver = drivers[0]
     server = driver.state.servers_by_id["a-1"]
-    slow_answers(driver, "a-1", 3)
-    driver.now -= 150
+    slow_answers(driver, "a-1", 10)
+    driver.now -= 500
     exchange_all(drivers, 3)
     assert with_shared(driver.state, server, 1.0) > 4
     observe_slowness(driver.state, server, 1.0)
--- a/turmerictiller/forwarding/choice.py
+++ b/turmerictiller/forwarding/choice.py
@@ -8,7 +8,7 @@
 from turmerictiller.forwarding.effects import LogDecision
 from turmerictiller.forwarding.limits import connection_limit, cut, has_room, raise_or_cut
 from turmerictiller.forwarding.servers import is_last_resort
-from turmerictiller.forwarding.shared_slowness import SLOW_FACTOR, observe_slowness, with_shared
+from turmerictiller.forwarding.shared_slowness import observe_slowness, with_shared
 from turmerictiller.forwarding.state import service_state
 
 if TYPE_CHECKING:
@@ -151,8 +151,6 @@
     _age_observations(state, server)
     if times.typical_ms > 0 and ms / times.typical_ms > server.slowness:
         server.slowness += SLOWNESS_WEIGHT * (ms / times.typical_ms - server.slowness)
-        if ms / times.typical_ms >= SLOW_FACTOR:
-            observe_slowness(state, server, ms / times.typical_ms)
 
 
 def observe_not_run(state: State, server: ServerState) -> None:
--- a/turmerictiller/forwarding/describe.py
+++ b/turmerictiller/forwarding/describe.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller.forwarding.limits import connection_limit, has_room
+from turmerictiller.forwarding.shared_slowness import with_shared
 
 if TYPE_CHECKING:
     from turmerictiller.forwarding.state import Part, Request, ServerState, State
@@ -55,4 +56,8 @@
     if not has_room(server, most):
         oldest_ms = now - next(iter(server.outstanding.values()))
         return f"no room, {len(server.outstanding)} unanswered, the oldest for {oldest_ms:.0f} ms"
-    return f"usable, {server.slowness:.1f} times the usual time"
+    slowness = with_shared(state, server, server.slowness)
+    if slowness > server.slowness:
+        age_ms = now - server.slow_at
+        return f"usable, {slowness:.1f} times the usual time by answers told {age_ms:.0f} ms ago"
+    return f"usable, {slowness:.1f} times the usual time"
--- a/turmerictiller/forwarding/extra_attempts.py
+++ b/turmerictiller/forwarding/extra_attempts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from turmerictiller.forwarding.peers import instances
+from turmerictiller.forwarding.fleet_size import instances
 
 if TYPE_CHECKING:
     from turmerictiller.forwarding.state import ServiceState, State
--- a/turmerictiller/forwarding/peers.py
+++ b/turmerictiller/forwarding/peers.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller.forwarding.effects import AskPeer, LogDecision
+from turmerictiller.forwarding.fleet_size import note_number
 from turmerictiller.forwarding.peer_model import Hello, PeerEntry, PeerState
 from turmerictiller.forwarding.shared_slowness import on_slowness_told, slow_servers
 from turmerictiller.forwarding.state import TimerKind
@@ -28,11 +29,6 @@
 # Where it tells of some, news take longer, and in a simulation of 68 to 300 instances the oldest of ten
 # thousand was 1.3 times N/MAX_TOLD x ln(N) exchanges old.
 LIFE_FACTOR = 1.5
-# After a loss of contact, shares stay those of the larger number for so long: longer than instances
-# take to start again, and than the window in which repeats are counted.
-KEEP_NUMBER_MS = 30_000.0
-# Until another instance was heard: today's largest deployment has 9 instances and may add 3.
-ASSUMED_INSTANCES = 12
 # Instances that an exchange tells of, so that it costs the same in a fleet of any size.
 MAX_TOLD = 24
 MAX_PEERS = 2_000
@@ -71,7 +67,7 @@
     for entry in hello.entries:
         if entry.age_ms < life_ms:
             _take(state, entry)
-    _note_number(state, hello.live_instances)
+    note_number(state, hello.live_instances)
     on_slowness_told(state, hello)
     own = state.own_incarnation
     state.crashes_by_peer[hello.sender.id] = (
@@ -109,19 +105,7 @@
             state.crashes_by_peer.pop(peer_id, None)
             fields = {"peer": peer_id, "silent_ms": round(state.now - peer.heard_at)}
             state.out.append(LogDecision("peer_lost", fields, urgent=True))
-    _note_number(state)
-
-
-def _note_number(state: State, told: int = 0) -> None:
-    number = max(len(state.peers_by_id) + 1, told)
-    if number >= state.most_instances or state.now - state.most_instances_at > KEEP_NUMBER_MS:
-        state.most_instances = number
-        state.most_instances_at = state.now
-
-
-def instances(state: State) -> int:
-    """Return among how many instances shares are divided."""
-    return state.most_instances if state.most_instances > 1 else ASSUMED_INSTANCES
+    note_number(state)
 
 
 def own_hello(state: State) -> Hello:
--- a/turmerictiller/forwarding/shared_slowness.py
+++ b/turmerictiller/forwarding/shared_slowness.py
@@ -8,6 +8,9 @@
 so all weights together stay those of the answers, however often they are told. One slow answer, such
 as one from a server that stood still for a moment, soon weighs little everywhere; a slow server has
 slow answers at many instances, whose weights add up.
+
+Only answers count. An instance behind a partition has many attempts without one, and would tell of servers
+that are well as soon as the partition ends.
 """
 
 from __future__ import annotations
@@ -15,6 +18,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from turmerictiller.forwarding.effects import LogDecision
+from turmerictiller.forwarding.fleet_size import instances
 from turmerictiller.forwarding.peer_model import SlowServer
 from turmerictiller.forwarding.state import service_state
 
@@ -28,13 +33,22 @@
 # What an instance assumes by itself weighs as much as its own attempts of this time. Slow answers of
 # a slow server come to twice that at each instance, those of one that stood still for 150 ms to a tenth.
 OWN_WEIGHT_MS = 1_000.0
+# It weighs at least as much as an instance's share of so many slow answers, because one of a hundred
+# answers is slow by chance, and services with few requests have few others.
+LEAST_ANSWERS = 3.0
 LEAST_WEIGHT = 0.02  # a slow answer that was shared among 50 instances
 MAX_TOLD = 64
+# An instance that finds this share of its last answers slow is slow or badly connected itself. Up to two
+# fifths of the servers of a deployment are slow at a time.
+MOST_SLOW = 0.5
+ANSWER_WEIGHT = 1 / 50  # two searches over 36 shards outweigh what was before
 
 
 def observe_slowness(state: State, server: ServerState, slowness: float) -> None:
     """Take one answer time, as a multiple of the usual one, into what other instances are told."""
-    if slowness < SLOW_FACTOR:
+    is_slow = slowness >= SLOW_FACTOR
+    state.slow_share += ANSWER_WEIGHT * (is_slow - state.slow_share)
+    if not is_slow:
         _clear(state, server)
         return
     _average(state, server, 1.0, slowness)
@@ -44,6 +58,8 @@
 
 def on_slowness_told(state: State, hello: Hello) -> None:
     """Keep half of what this instance and another one know together."""
+    if _is_slow_itself(state):
+        _drop_untold(state)
     for server_id in list(state.slow_server_ids):
         server = state.servers_by_id.get(server_id)
         if server is None:
@@ -61,10 +77,13 @@
             server.slow_weight = shared_weight(state, server) + told.weight / 2
             server.slow_at = state.now
             state.slow_server_ids[server.entry.id] = None
+            _note_belief(state, server, hello)
 
 
 def slow_servers(state: State) -> tuple[SlowServer, ...]:
     """Return what is told to another instance, the heaviest first."""
+    if _is_slow_itself(state):
+        return ()
     known = [
         SlowServer(server_id, weight, server.slow_slowness)
         for server_id in state.slow_server_ids
@@ -74,6 +93,16 @@
     return tuple(sorted(known, key=lambda told: told.weight, reverse=True)[:MAX_TOLD])
 
 
+def _is_slow_itself(state: State) -> bool:
+    return state.slow_share > MOST_SLOW
+
+
+def _drop_untold(state: State) -> None:
+    for server_id in state.slow_server_ids:
+        if (server := state.servers_by_id.get(server_id)) is not None:
+            server.slow_untold = 0.0
+
+
 def with_shared(state: State, server: ServerState, own_slowness: float) -> float:
     """Return the expected slowness from what this instance assumes and what all have seen."""
     if not server.slow_weight:
@@ -81,7 +110,7 @@
     service = service_state(state, server.entry.service)
     window_ms = state.settings.extra_window_ms
     attempts = service.first_attempts.value(state.now) / max(1, len(service.servers_by_id))
-    own_weight = max(LEAST_WEIGHT, attempts * OWN_WEIGHT_MS / window_ms)
+    own_weight = max(LEAST_ANSWERS / instances(state), attempts * OWN_WEIGHT_MS / window_ms)
     weight = shared_weight(state, server)
     shared = (weight * server.slow_slowness + own_weight * own_slowness) / (weight + own_weight)
     return max(own_slowness, shared)
@@ -101,6 +130,24 @@
     server.slow_slowness = (known * server.slow_slowness + weight * slowness) / (known + weight)
 
 
+def _note_belief(state: State, server: ServerState, hello: Hello) -> None:
+    """Log once that a server counts as slow because of what others saw."""
+    slowness = with_shared(state, server, 1.0)
+    if server.slow_by_others or slowness < SLOW_FACTOR:
+        return
+    server.slow_by_others = True
+    fields = {
+        "server": server.entry.id,
+        "slowness": round(slowness, 1),
+        "weight": round(shared_weight(state, server), 3),
+        "peer": hello.sender.id,
+    }
+    state.out.append(LogDecision("server_slow", fields, urgent=True))
+
+
 def _clear(state: State, server: ServerState) -> None:
+    if server.slow_by_others:
+        server.slow_by_others = False
+        state.out.append(LogDecision("server_not_slow", {"server": server.entry.id}, urgent=True))
     server.slow_weight = server.slow_untold = 0.0
     state.slow_server_ids.pop(server.entry.id, None)
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -58,6 +58,7 @@
     :param draining_at: when it was first seen draining.
     :param slow_untold: number of slow answers that no other instance was told.
     :param slow_weight: this one's share of the slow answers of all instances, at ``slow_at``.
+    :param slow_by_others: counts as slow because of answers that other instances had.
     :param slow_slowness: times of those answers as a multiple of the usual one.
     """
 
@@ -82,6 +83,7 @@
     slow_weight: float = 0.0
     slow_slowness: float = 1.0
     slow_at: Millis = 0.0
+    slow_by_others: bool = False
 
 
 @dataclass(slots=True)
@@ -217,6 +219,7 @@
     own_incarnation: int = 0
     peers_by_id: dict[str, PeerState] = field(default_factory=dict)
     slow_server_ids: dict[str, None] = field(default_factory=dict)
+    slow_share: float = 0.0
     most_instances: int = 1
     most_instances_at: Millis = 0.0
     suspects_by_fingerprint: dict[int, Suspect] = field(default_factory=dict)
