Keep the use of leaving servers within the bound of the platform

Cause: drain_ms was read from the settings and decided nothing; servers that drain or have lapsed are used as a last resort for constants of 1 and 2 s, which a platform with a shorter bound would not allow.

Change: the constants hold up to a third and two thirds of the bound, which is what they are on today's sites. A server whose address is another's has a field of its own instead of a removal time of minus infinity, and whether a failure means that a server is unreachable is asked of the failure.

Conclusion: the bound decides; nothing else changes.

--- a/tests/forwarding/test_servers.py
+++ b/tests/forwarding/test_servers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from tests.forwarding.driving import Driver, configuration, entry, single_route
+from dataclasses import replace
+
+from tests.forwarding.driving import SETTINGS, Driver, configuration, entry, single_route
 from turmerictiller.forwarding.effects import ForgetServer, Refuse
 from turmerictiller.forwarding.events import (
     ConfigurationSeen,
@@ -12,6 +14,7 @@
     ServerSeen,
     ServersListed,
 )
+from turmerictiller.forwarding.state import new_state
 
 
 def started(servers: int = 2) -> Driver:
@@ -46,6 +49,19 @@
     assert isinstance(driver.outcome(driver.request("/one/x")), Refuse)
 
 
+def test_last_resort_ends_well_within_a_short_bound() -> None:
+    """Guards against work after the platform's bound where that is shorter than usual."""
+    for changed, most_ms in ((entry("a-1", "a", 2, draining=True), 300), (None, 600)):
+        driver = Driver(new_state(replace(SETTINGS, drain_ms=900.0)))
+        driver.start(configuration(single_route()), 1)
+        driver.give(
+            ServerSeen(driver.now, changed) if changed else ServerEntryRemoved(driver.now, "a-1", 2)
+        )
+        assert servers_asked(driver, 1) == {"a-1"}
+        driver.wait(most_ms)
+        assert isinstance(driver.outcome(driver.request("/one/x")), Refuse)
+
+
 def test_server_that_drains_for_an_unknown_time_is_not_used() -> None:
     """Guards against work for a server that began to leave before this instance could know it."""
     draining = entry("a-1", "a", 2, draining=True)
--- a/turmerictiller/forwarding/answers.py
+++ b/turmerictiller/forwarding/answers.py
@@ -9,7 +9,6 @@
     start_attempt,
 )
 from turmerictiller.forwarding.choice import (
-    is_connection_failure,
     observe_answer,
     observe_failure,
     observe_not_run,
@@ -89,12 +88,12 @@
         else:
             _observe_loss(state, server, attempt, event.failure)
     request = state.requests_by_call.get(attempt.call_id)
-    is_free = is_connection_failure(event.failure)
+    is_free = event.failure.is_unreachable
     _on_lost(state, request, attempt, event.failure.value, event.may_have_run, is_free)
 
 
 def _observe_loss(state: State, server: ServerState, attempt: Attempt, failure: Failure) -> None:
-    observe_failure(state, server, failure.value, is_connection_failure(failure))
+    observe_failure(state, server, failure.value, failure.is_unreachable)
     if failure is Failure.REFUSED:
         on_refused(state, server)
     elif failure in (Failure.CLOSED, Failure.RESET):
--- a/turmerictiller/forwarding/choice.py
+++ b/turmerictiller/forwarding/choice.py
@@ -184,8 +184,3 @@
 def _extend_ejection(state: State, server: ServerState) -> None:
     server.backoff_ms = min(LONGEST_EJECTION_MS, max(FIRST_EJECTION_MS, 2 * server.backoff_ms))
     server.ejected_until = state.now + server.backoff_ms
-
-
-def is_connection_failure(failure: Failure) -> bool:
-    """Return whether a failure says that the server can not be reached at all."""
-    return failure.value in ("refused", "connect_timeout")
--- a/turmerictiller/forwarding/describe.py
+++ b/turmerictiller/forwarding/describe.py
@@ -40,9 +40,9 @@
 def describe_server(state: State, server: ServerState) -> str:
     """Return what decides whether a server may get a request, with its age."""
     now = state.now
+    if server.is_replaced:
+        return "its address is another server's"
     if server.removed_at is not None:
-        if server.removed_at == float("-inf"):
-            return "its address is another server's"
         return f"entry removed {now - server.removed_at:.0f} ms ago"
     if server.draining_at is not None:
         since = now - server.draining_at
--- a/turmerictiller/forwarding/events.py
+++ b/turmerictiller/forwarding/events.py
@@ -82,6 +82,11 @@
     BAD_ANSWER = "bad_answer"
     OTHER_SERVER = "other_server"
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the failure says that the server can not be reached at all."""
+        return self in (Failure.REFUSED, Failure.CONNECT_TIMEOUT)
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
--- a/turmerictiller/forwarding/servers.py
+++ b/turmerictiller/forwarding/servers.py
@@ -19,8 +19,10 @@
 
 # Entries that lapsed while the registry was away are back about two seconds after its return.
 REMOVED_USE_MS = 2_000.0
+REMOVED_USE_SHARE = 2 / 3  # at most, of the time within which a server that leaves must get no work
 # A watch may have told of a draining server a second later than the time from which it counts.
 DRAINING_USE_MS = 1_000.0
+DRAINING_USE_SHARE = 1 / 3  # at most, of the same time
 FORGET_AFTER_MS = 30_000.0  # longer than any attempt to the server lasts
 MAX_REMOVED = 4_096
 
@@ -78,6 +80,7 @@
         server = _add(state, entry, server)
     server.entry = entry
     server.removed_at = None
+    server.is_replaced = False
     if entry.draining and server.draining_at is None:
         server.draining_at = state.now if is_news else float("-inf")
         fields = {"server": entry.id, "service": entry.service, "revision": entry.revision}
@@ -141,16 +144,20 @@
 
 def is_last_resort(state: State, server: ServerState) -> bool | None:
     """Return whether a server is used only if there is no other; ``None`` if it is not used."""
+    drain_ms = state.settings.drain_ms
+    if server.is_replaced:
+        return None
     if server.removed_at is not None:
-        left = state.now - server.removed_at < REMOVED_USE_MS and not server.entry.draining
+        use_ms = min(REMOVED_USE_MS, REMOVED_USE_SHARE * drain_ms)
+        left = state.now - server.removed_at < use_ms and not server.entry.draining
         return True if left else None
     if server.draining_at is not None:
-        return True if state.now - server.draining_at < DRAINING_USE_MS else None
+        use_ms = min(DRAINING_USE_MS, DRAINING_USE_SHARE * drain_ms)
+        return True if state.now - server.draining_at < use_ms else None
     return False
 
 
 def on_other_server(state: State, server: ServerState) -> None:
     """Stop using a server whose address is another's now."""
-    revision = server.entry.revision
-    _remove(state, server, revision)
-    server.removed_at = float("-inf")
+    server.is_replaced = True
+    _remove(state, server, server.entry.revision)
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -55,6 +55,7 @@
     :param limit_cut_at: when the limit was last lowered.
     :param broken: attempts that it broke off, as time, fingerprint and call.
     :param removed_at: when its entry was removed; ``None`` while there is one.
+    :param is_replaced: another server answered at its address.
     :param draining_at: when it was first seen draining.
     :param slow_untold: number of slow answers that no other instance was told.
     :param slow_weight: this one's share of the slow answers of all instances, at ``slow_at``.
@@ -78,6 +79,7 @@
     limit_cut_at: Millis = float("-inf")
     broken: list[tuple[Millis, int, int]] = field(default_factory=list)
     removed_at: Millis | None = None
+    is_replaced: bool = False
     draining_at: Millis | None = None
     slow_untold: float = 0.0
     slow_weight: float = 0.0
