Let a server that others find slow lose only against servers that are well

Cause: behind a partition, the servers that can be reached take the load of all and are slow. All instances there told each other so, and then preferred servers beyond the partition, which are not slow but can not be reached.

Ruled out, by a trial: that shards were left out or hedges not sent because servers were expected to be late.

Change: what others saw makes a server cost twice the usual at most: more than one that is well, less than one that failed lately.

--- a/turmerictiller/forwarding/choice.py
+++ b/turmerictiller/forwarding/choice.py
@@ -14,7 +14,6 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-    from turmerictiller.forwarding.events import Failure
     from turmerictiller.forwarding.state import RouteTimes, ServerState, ServiceState, State
 
 SLOWNESS_WEIGHT = 0.3
@@ -82,7 +81,9 @@
                 return server
             if now < server.ejected_until + PROBATION_MS:
                 rank += 1
-        cost = expected_cost(state, server)
+        # What others saw steers the choice only. Whether an answer can be in time is judged by own
+        # answers, so that no request is given up because of news that may be out of date.
+        cost = expected_cost(state, server) * _told_factor(state, server)
         if (rank, cost) < best_rank:
             best, best_rank = server, (rank, cost)
     return best
@@ -99,8 +100,7 @@
     entry = server.entry
     load = 1 + len(server.outstanding) / max(1, entry.slots)
     trouble = server.trouble * _decay(state, server)
-    slowness = with_shared(state, server, current_slowness(state, server))
-    cost = slowness * load + TROUBLE_COST * trouble
+    cost = current_slowness(state, server) * load + TROUBLE_COST * trouble
     if entry.domain != state.settings.failure_domain:
         cost += OTHER_DOMAIN_COST
     if entry.cold_ms and state.now - server.added_at < entry.cold_ms:
@@ -113,6 +113,13 @@
     return expected_cost(state, server) * times.typical_ms
 
 
+def _told_factor(state: State, server: ServerState) -> float:
+    if not server.slow_weight:
+        return 1.0
+    own = current_slowness(state, server)
+    return with_shared(state, server, own) / own
+
+
 def current_slowness(state: State, server: ServerState) -> float:
     """Return the answer times of a server as multiples of the usual ones, by age of what is known."""
     return UNKNOWN_SLOWNESS + (server.slowness - UNKNOWN_SLOWNESS) * _decay(state, server)
--- a/turmerictiller/forwarding/shared_slowness.py
+++ b/turmerictiller/forwarding/shared_slowness.py
@@ -38,6 +38,9 @@
 LEAST_ANSWERS = 3.0
 LEAST_WEIGHT = 0.02  # a slow answer that was shared among 50 instances
 MAX_TOLD = 64
+# A slow server loses against any that is well, but not against one that failed lately, which costs 1.8
+# more than a usual one: behind a partition, slow servers are all that can be reached.
+MOST_BELIEVED = 2.0
 # An instance that finds this share of its last answers slow is slow or badly connected itself. Up to two
 # fifths of the servers of a deployment are slow at a time.
 MOST_SLOW = 0.5
@@ -113,7 +116,7 @@
     own_weight = max(LEAST_ANSWERS / instances(state), attempts * OWN_WEIGHT_MS / window_ms)
     weight = shared_weight(state, server)
     shared = (weight * server.slow_slowness + own_weight * own_slowness) / (weight + own_weight)
-    return max(own_slowness, shared)
+    return max(own_slowness, min(MOST_BELIEVED, shared))
 
 
 def shared_weight(state: State, server: ServerState) -> float:
@@ -133,7 +136,7 @@
 def _note_belief(state: State, server: ServerState, hello: Hello) -> None:
     """Log once that a server counts as slow because of what others saw."""
     slowness = with_shared(state, server, 1.0)
-    if server.slow_by_others or slowness < SLOW_FACTOR:
+    if server.slow_by_others or slowness < MOST_BELIEVED:
         return
     server.slow_by_others = True
     fields = {
