Let one pause of a server weigh less in what instances share

An instance that meets a server in its pause of 150 ms keeps the weight of that answer for two seconds or more, and avoids a server that is well, where few are left.

Ruled out: whole-fleet effects of pauses; spread over 90 instances a pause weighs a tenth of what the instance assumes. It is the instance that met it, and the first it tells.

Change: what an instance assumes weighs as much as its own attempts of three seconds instead of one, and at least its share of six slow answers instead of three. One slow answer is outweighed after one or two exchanges.

--- a/turmerictiller/forwarding/shared_slowness.py
+++ b/turmerictiller/forwarding/shared_slowness.py
@@ -31,11 +31,12 @@
 # Slow phases last for seconds. Weights are told within two, and must be gone a few seconds later.
 HALF_LIFE_MS = 1_500.0
 # What an instance assumes by itself weighs as much as its own attempts of this time. Slow answers of
-# a slow server come to twice that at each instance, those of one that stood still for 150 ms to a tenth.
-OWN_WEIGHT_MS = 1_000.0
+# a slow server come to two thirds of that at each instance, those of one that stood still for 150 ms to
+# a thirtieth. With 1 s, an instance avoided a server for over two seconds after each such pause.
+OWN_WEIGHT_MS = 3_000.0
 # It weighs at least as much as an instance's share of so many slow answers, because one of a hundred
 # answers is slow by chance, and services with few requests have few others.
-LEAST_ANSWERS = 3.0
+LEAST_ANSWERS = 6.0
 LEAST_WEIGHT = 0.02  # a slow answer that was shared among 50 instances
 MAX_TOLD = 64
 # A slow server loses against any that is well, but not against one that failed lately, which costs 1.8
