--- /dev/null
+++ b/tests/forwarding/exchanging.py
@@ -0,0 +1,45 @@
+"""Instances that ask each other, for tests of what they learn."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from tests.forwarding.driving import SETTINGS, Driver, configuration, gather_route, single_route
+from turmerictiller.forwarding.effects import AskPeer
+from turmerictiller.forwarding.events import PeerHeard
+from turmerictiller.forwarding.peers import own_hello
+from turmerictiller.forwarding.state import new_state
+
+
+def instance(number: int, seeds: tuple[int, ...] = (1, 2)) -> Driver:
+    """Return a driver of an instance at an address of its own."""
+    settings = replace(
+        SETTINGS,
+        instance_id=f"e{number}",
+        seed=number,
+        peer_address=f"10.0.0.{number}:7000",
+        seed_addresses=tuple(f"10.0.0.{seed}:7000" for seed in seeds),
+    )
+    driver = Driver(new_state(settings))
+    driver.start(configuration(gather_route(), single_route(True)))
+    return driver
+
+
+def exchange_all(drivers: list[Driver], seconds: int, cut: tuple[str, ...] = ()) -> None:
+    """Let instances ask each other for some seconds, but for those that are cut off."""
+    by_address = {driver.state.settings.peer_address: driver for driver in drivers}
+    for _ in range(seconds):
+        questions = [
+            (driver, effect)
+            for driver in drivers
+            for effect in driver.wait(1_000)
+            if isinstance(effect, AskPeer)
+        ]
+        for driver, effect in questions:
+            asked = by_address.get(effect.address)
+            own = driver.state.settings.peer_address
+            if asked is None or own in cut or effect.address in cut:
+                continue
+            answer = own_hello(asked.state)
+            asked.give(PeerHeard(asked.now, effect.hello))
+            driver.give(PeerHeard(driver.now, answer))
--- a/tests/forwarding/test_shared_slowness.py
+++ b/tests/forwarding/test_shared_slowness.py
@@ -8,8 +8,8 @@
 import pytest
 
 from tests.forwarding.driving import Driver
+from tests.forwarding.exchanging import exchange_all, instance
 from tests.forwarding.playing import Play
-from tests.forwarding.test_peers import exchange_all, instance
 from turmerictiller.forwarding.choice import observe_failure
 from turmerictiller.forwarding.events import PeerHeard
 from turmerictiller.forwarding.peers import own_hello
