--- a/tests/core/test_lifecycle.py
+++ b/tests/core/test_lifecycle.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.reducing import Harness
+from tests.reducing import Harness, first_note, shard_map, snapshot
 from turmerictiller.borders.operators.state_dump import health
 from turmerictiller.core import effects, events
 from turmerictiller.errors import RefusalType
@@ -57,6 +57,22 @@
     assert _refusals(harness) == [RefusalType.SHUTTING_DOWN]
 
 
+def test_instance_without_a_shard_map_is_not_ready() -> None:
+    """Guards against callers that an instance refuses because it started a moment ago."""
+    harness = Harness()
+    harness.send(events.NoteSeen(harness.at, "platform", first_note()))
+    shards = shard_map()
+    name = snapshot(1, shards)
+    for server_id in harness.state.servers_by_id:
+        status = events.UpstreamStatus(f"i-{server_id}", False, (name,))
+        harness.send(events.HealthReported(harness.at, server_id, status))
+    assert harness.search(1) == []
+    assert not health(harness.state)["ready"]
+    harness.send(events.ShardMapSeen(harness.at, "jobs-0-s0", name, shards))
+    assert health(harness.state)["ready"]
+    assert harness.search(2)
+
+
 def test_listeners_stay_open_until_calls_are_over_and_quiet() -> None:
     """Guards against a listener closed under a search or right after one."""
     harness = _harness()
--- a/tests/running.py
+++ b/tests/running.py
@@ -40,6 +40,7 @@
 
     :param answers: status by instance of every search that was answered.
     :param broken: searches whose connection ended without an answer, by instance.
+    :param refusals: what callers were told in place of hits, by instance.
     :param targets: instances that searches go to.
     """
 
@@ -51,6 +52,7 @@
     note: dict[str, Any]
     answers: Counter[tuple[str, int]] = field(default_factory=Counter)
     broken: Counter[str] = field(default_factory=Counter)
+    refusals: list[tuple[str, int, Any]] = field(default_factory=list)
     full: Counter[str] = field(default_factory=Counter)
     problems: list[str] = field(default_factory=list)
     targets: list[str] = field(default_factory=lambda: list(ENTRIES))
@@ -100,6 +102,7 @@
             return None
         self.answers[name, status] += 1
         if status != 200:
+            self.refusals.append((name, status, answer))
             return None
         self.problems += desk.problems_of(answer, query, 5)
         self.full[name] += answer["coverage"]["share"] == 1
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -34,10 +34,9 @@
     return decorate
 
 
-def refused(running_desk: Desk, *names: str) -> dict[tuple[str, int], int]:
-    """Return the searches at instances that were answered without hits."""
-    counts = running_desk.answers.items()
-    return {key: count for key, count in counts if key[0] in names and key[1] != 200}
+def refused(running_desk: Desk, *names: str) -> list[tuple[str, int, Any]]:
+    """Return what searches at instances were answered in place of hits."""
+    return [refusal for refusal in running_desk.refusals if refusal[0] in names]
 
 
 @on_desk()
@@ -50,7 +49,7 @@
         await d.more_full("e1", "e3")
         d.start_entry("e2")
         await d.more_full("e2")
-    assert (d.broken["e1"], d.broken["e3"], refused(d, "e1", "e3")) == (0, 0, {})
+    assert (d.broken["e1"], d.broken["e3"], refused(d, "e1", "e3")) == (0, 0, [])
 
 
 @on_desk()
@@ -62,7 +61,7 @@
         await d.more_full(*ENTRIES)
         d.start_upstreams(LONE)
         await until(lambda: has_served(d, 0))
-    assert (d.broken, refused(d, *ENTRIES)) == ({}, {})
+    assert (d.broken, refused(d, *ENTRIES)) == ({}, [])
     assert sum(d.full.values()) == sum(d.answers.values()), "a lost call was not retried"
 
 
@@ -81,7 +80,7 @@
         d.processes.signal(LONE, signal.SIGCONT)
         served = (await d.upstream(d.server(LONE)))["served"]
         await until(lambda: has_served(d, served))
-    assert (d.broken, refused(d, *ENTRIES)) == ({}, {})
+    assert (d.broken, refused(d, *ENTRIES)) == ({}, [])
 
 
 @on_desk()
@@ -109,7 +108,7 @@
         d.targets = list(ENTRIES)
         await d.more_full(*ENTRIES)
     assert d.broken == {}
-    assert refused(d, "e1", "e3") == {}
+    assert refused(d, "e1", "e3") == []
 
 
 async def has_number(d: Desk, name: str, number: int) -> bool:
@@ -129,7 +128,7 @@
         d.targets = ["e1", "e3"]
         assert await stopping == {"e2": 0}
         await d.more_full("e1", "e3")
-    assert (d.broken, refused(d, *ENTRIES)) == ({}, {})
+    assert (d.broken, refused(d, *ENTRIES)) == ({}, [])
 
 
 async def is_leaving(d: Desk, name: str) -> bool:
--- a/turmerictiller/borders/operators/state_dump.py
+++ b/turmerictiller/borders/operators/state_dump.py
@@ -71,14 +71,26 @@
     return "no release note is in force"
 
 
+def _why_no_snapshot(state: State) -> str:
+    reported = {
+        snapshot
+        for server in state.servers_by_id.values()
+        if server.reachable
+        for snapshot in server.snapshots
+    }
+    if not reported:
+        return "no upstream has reported a snapshot"
+    # A search is refused until the shards of its snapshot are known.
+    if reported.isdisjoint(state.shard_maps_by_snapshot):
+        return "no shard map of a reported snapshot has been read"
+    return ""
+
+
 def health(state: State) -> dict[str, Any]:
     """Return what the balancer asks: is the process alive, and ready for callers."""
-    has_server = any(
-        server.reachable and server.snapshots for server in state.servers_by_id.values()
-    )
     reason = "" if state.note else _why_no_note(state)
-    if not reason and not has_server:
-        reason = "no upstream has reported a snapshot"
+    if not reason:
+        reason = _why_no_snapshot(state)
     if is_leaving(state):
         reason = "the instance is shutting down"
     phase = state.lifecycle.phase.value
