Give back connections to servers that turn new ones away, and match answers by identity

Cause: each of 76 instances keeps a connection to every server, and a server accepts 70. Such a reset counted as a run on that server and as a failure of it; after two of them a part was given up, and after two parts the search ended as 502. The others kept idle connections for as long as servers allow.

A new connection that is reset within 5 ms is not a run for requests that may repeat, at most twice a part, and says nothing bad of its server. The server counts as contested for 8 s, here and at the instances that are told, and all give back connections to it that were idle for a second. Requests that must not run twice wait 3 ms on a new connection, so that they are known not to have been sent when it is reset. Found by the new tests of the HTTP client on sockets: an answer that names no request was accepted on a connection whose answers name theirs, and a list of idle connections stayed behind for each address.

Ruled out: refusals by servers (not_run is counted apart), crashes, and resets of connections that were in use before: none of the resets was of those.

Each of the eight new tests of contention and the two of identity fails without the change.

--- /dev/null
+++ b/tests/transport/test_http_client.py
@@ -0,0 +1,270 @@
+"""Tests of connections to servers, on real sockets with a server that a test scripts."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import pytest
+
+from turmerictiller.clock import Clock
+from turmerictiller.forwarding.events import Failure
+from turmerictiller.platform.http_dialect import accepts
+from turmerictiller.transport.http_client import NOT_ACCEPTED_MS, ConnectionPool, Exchange
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from turmerictiller.transport.messages import RawResponse
+
+    Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+GUARD_S = 10.0  # ends a test that would wait for ever; no test relies on it
+
+
+def response(request_id: str, body: bytes = b"hits", extra: bytes = b"") -> bytes:
+    """Return a whole answer to a request."""
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Stamp: s\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body + extra
+
+
+async def read_request(reader: asyncio.StreamReader) -> str:
+    """Read one request and return its identity."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    return head.partition("Request-Id: ")[2].partition("\r\n")[0]
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.close()
+
+
+@asynccontextmanager
+async def serving(script: Script) -> AsyncIterator[tuple[ConnectionPool, str]]:
+    """Run a server that follows a script on each connection, and a pool of connections to it."""
+    server = await asyncio.start_server(script, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    pool = ConnectionPool(Clock())
+    try:
+        async with asyncio.timeout(GUARD_S):
+            yield pool, f"{host}:{port}"
+    finally:
+        pool.close()
+        server.close()
+
+
+async def ask(
+    pool: ConnectionPool, address: str, request_id: str, settle: bool = False
+) -> RawResponse | tuple[Failure, bool]:
+    """Send one request; return its answer, or why there is none and whether it may have run."""
+    done: asyncio.Future[RawResponse | tuple[Failure, bool]]
+    done = asyncio.get_running_loop().create_future()
+    exchange = Exchange(
+        f"GET /x HTTP/1.1\r\nRequest-Id: {request_id}\r\n\r\n".encode(),
+        lambda found, must_name: accepts(found, request_id.encode(), must_name),
+        done.set_result,
+        lambda failure, may_have_run: done.set_result((failure, may_have_run)),
+        settle,
+    )
+    pool.send(address, exchange)
+    return await done
+
+
+def body_of(outcome: RawResponse | tuple[Failure, bool]) -> bytes:
+    """Return the body of an answer."""
+    assert not isinstance(outcome, tuple), outcome
+    return outcome.body
+
+
+def test_late_second_copy_reaches_no_other_caller() -> None:
+    """Guards against an answer on a connection in use again that belongs to the caller before."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        first = await read_request(reader)
+        writer.write(response(first, b"first"))
+        second = await read_request(reader)
+        # The copy comes where the next answer is expected.
+        writer.write(response(first, b"first"))
+        await asyncio.sleep(0.02)
+        writer.write(response(second, b"second"))
+
+    async def run() -> None:
+        async with serving(script) as (pool, address):
+            assert body_of(await ask(pool, address, "one")) == b"first"
+            assert body_of(await ask(pool, address, "two")) == b"second"
+            assert pool.opened == 1
+            # What else may come on this connection is unknown.
+            assert pool.idle_by_address == {}
+
+    asyncio.run(run())
+
+
+def test_second_copy_without_an_identity_reaches_no_other_caller() -> None:
+    """Guards against a foreign answer that is accepted because it names no request."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        first = await read_request(reader)
+        writer.write(response(first, b"first"))
+        second = await read_request(reader)
+        copy = response(first, b"first").replace(f"Request-Id: {first}\r\n".encode(), b"")
+        writer.write(copy)
+        await asyncio.sleep(0.02)
+        writer.write(response(second, b"second"))
+
+    async def run() -> None:
+        async with serving(script) as (pool, address):
+            assert body_of(await ask(pool, address, "one")) == b"first"
+            assert body_of(await ask(pool, address, "two")) == b"second"
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.02])
+def test_connection_with_bytes_after_an_answer_is_not_used_again(delay_s: float) -> None:
+    """Guards against a second copy that waits on an idle connection for the next caller."""
+    opened: list[int] = []
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        opened.append(1)
+        request_id = await read_request(reader)
+        writer.write(response(request_id))
+        await asyncio.sleep(delay_s)
+        writer.write(response(request_id))
+        await reader.read()
+
+    async def run() -> None:
+        async with serving(script) as (pool, address):
+            body_of(await ask(pool, address, "one"))
+            await asyncio.sleep(0.05)
+            body_of(await ask(pool, address, "two"))
+            assert len(opened) == 2
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "cut", [b"", b"HTTP/1.1 200", b"\r\n\r\nhi"], ids=["nothing", "head", "body"]
+)
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_answer_that_breaks_off_is_a_failure(cut: bytes, is_reset: bool) -> None:
+    """Guards against half an answer that reaches the caller as a complete success."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        whole = response(await read_request(reader))
+        writer.write(whole[: whole.index(cut) + len(cut)] if cut else b"")
+        await writer.drain()
+        await asyncio.sleep(2 * NOT_ACCEPTED_MS / 1000)
+        if is_reset:
+            reset(writer)
+        else:
+            writer.close()
+
+    async def run() -> None:
+        async with serving(script) as (pool, address):
+            outcome = await ask(pool, address, "one")
+            assert outcome == (Failure.RESET if is_reset else Failure.CLOSED, True)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_answer_without_a_length_ends_with_its_connection(is_reset: bool) -> None:
+    """Guards against an answer without a length that counts as whole though it was reset."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {await read_request(reader)}\r\n\r\n"
+        writer.write(head.encode() + b"all")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if is_reset:
+            reset(writer)
+        else:
+            writer.close()
+
+    async def run() -> None:
+        async with serving(script) as (pool, address):
+            outcome = await ask(pool, address, "one")
+            if is_reset:
+                assert outcome == (Failure.RESET, True)
+            else:
+                assert body_of(outcome) == b"all"
+
+    asyncio.run(run())
+
+
+def test_bytes_that_are_no_answer_are_a_failure_of_that_request_only() -> None:
+    """Guards against a malformed answer that stops an instance or spoils another request."""
+    calls: list[str] = []
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request_id = await read_request(reader)
+        calls.append(request_id)
+        writer.write(b"\x00\xffnot http\r\n\r\n" if len(calls) == 1 else response(request_id))
+
+    async def run() -> None:
+        async with serving(script) as (pool, address):
+            assert await ask(pool, address, "one") == (Failure.BAD_ANSWER, True)
+            assert body_of(await ask(pool, address, "two")) == b"hits"
+
+    asyncio.run(run())
+
+
+def test_new_connection_that_is_reset_at_once_was_not_accepted() -> None:
+    """Guards against a server with no connection left that counts as one that fails."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        reset(writer)
+
+    async def run() -> None:
+        async with serving(script) as (pool, address):
+            failure, _ = await ask(pool, address, "one")  # type: ignore[misc]
+            assert failure is Failure.NOT_ACCEPTED
+            # Nothing was sent before the server had time to turn the connection away.
+            assert await ask(pool, address, "two", settle=True) == (Failure.NOT_ACCEPTED, False)
+
+    asyncio.run(run())
+
+
+def test_reset_of_a_used_or_slow_connection_may_have_run() -> None:
+    """Guards against a request that ran and is taken for one that was not accepted."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request_id = await read_request(reader)
+        if request_id == "slow":
+            await asyncio.sleep(2 * NOT_ACCEPTED_MS / 1000)
+        else:
+            writer.write(response(request_id))
+            await read_request(reader)
+        reset(writer)
+
+    async def run() -> None:
+        async with serving(script) as (pool, address):
+            assert await ask(pool, address, "slow") == (Failure.RESET, True)
+            body_of(await ask(pool, address, "one"))
+            assert await ask(pool, address, "two") == (Failure.RESET, True)
+
+    asyncio.run(run())
+
+
+def test_connections_that_were_idle_for_a_while_are_given_back() -> None:
+    """Guards against instances that keep the last connections of a server from others."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            writer.write(response(await read_request(reader)))
+
+    async def run() -> None:
+        async with serving(script) as (pool, address):
+            body_of(await ask(pool, address, "one"))
+            pool.close_address(address, idle_ms=1_000.0)
+            assert len(pool.idle_by_address[address]) == 1
+            await asyncio.sleep(0.03)
+            pool.close_address(address, idle_ms=20.0)
+            assert pool.idle_by_address == {}
+
+    asyncio.run(run())
--- a/turmerictiller/forwarding/answers.py
+++ b/turmerictiller/forwarding/answers.py
@@ -13,6 +13,7 @@
     observe_failure,
     observe_not_run,
 )
+from turmerictiller.forwarding.contention import note_contested
 from turmerictiller.forwarding.effects import (
     LogDecision,
     PassAnswer,
@@ -34,6 +35,7 @@
     from turmerictiller.forwarding.state import Attempt, ServerState, State
 
 MAX_SENDS = 6  # attempts of one part that were refused without having run
+MAX_NOT_ACCEPTED = 2  # resets of new connections that do not count among the runs of a part
 # Share of answer times after which an attempt is hedged. The budget allows a fifth of the requests.
 HEDGE_QUANTILE = 0.85
 
@@ -83,20 +85,44 @@
     attempt, server = ended
     state.counters[f"attempts.{event.failure.value}"] += 1
     if server is not None:
-        if event.failure is Failure.OTHER_SERVER:
-            on_other_server(state, server)
-        else:
-            _observe_loss(state, server, attempt, event.failure)
+        _observe_loss(state, server, attempt, event)
     request = state.requests_by_call.get(attempt.call_id)
-    is_free = event.failure.is_unreachable
-    _on_lost(state, request, attempt, event.failure.value, event.may_have_run, is_free)
+    may_have_run = event.may_have_run
+    if event.failure is Failure.NOT_ACCEPTED and may_have_run and request is not None:
+        may_have_run = not _may_ignore(request.parts[attempt.part], attempt)
+    is_free = event.failure.is_unreachable or (
+        event.failure is Failure.NOT_ACCEPTED and not event.may_have_run
+    )
+    _on_lost(state, request, attempt, event.failure.value, may_have_run, is_free)
+
+
+def _may_ignore(part: Part, attempt: Attempt) -> bool:
+    """Return whether a reset of a new connection need not count among the runs of a part.
+
+    A request that crashes servers at once looks the same, so this is limited.
+    """
+    if not attempt.idempotent or part.not_accepted >= MAX_NOT_ACCEPTED:
+        return False
+    part.not_accepted += 1
+    return True
 
 
-def _observe_loss(state: State, server: ServerState, attempt: Attempt, failure: Failure) -> None:
-    observe_failure(state, server, failure.value, failure.is_unreachable)
+def _observe_loss(
+    state: State, server: ServerState, attempt: Attempt, event: AttemptFailed
+) -> None:
+    failure = event.failure
+    if failure is Failure.OTHER_SERVER:
+        on_other_server(state, server)
+        return
+    if failure is Failure.NOT_ACCEPTED:
+        # The server is well; only its connections are used up.
+        note_contested(state, server)
+        observe_not_run(state, server)
+    else:
+        observe_failure(state, server, failure.value, failure.is_unreachable)
     if failure is Failure.REFUSED:
         on_refused(state, server)
-    elif failure in (Failure.CLOSED, Failure.RESET):
+    elif event.may_have_run and failure in (Failure.CLOSED, Failure.RESET, Failure.NOT_ACCEPTED):
         on_broken_off(state, server, attempt)
 
 
--- a/turmerictiller/forwarding/attempts.py
+++ b/turmerictiller/forwarding/attempts.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from turmerictiller.forwarding.choice import choose_server, expected_ms
+from turmerictiller.forwarding.contention import is_contested
 from turmerictiller.forwarding.effects import SendAttempt
 from turmerictiller.forwarding.state import Attempt, route_times, service_state
 
@@ -82,6 +83,7 @@
             server.entry.address,
             budget_ms,
             fresh=not route.idempotent,
+            settle=not route.idempotent or is_contested(state, server),
         )
     )
     return attempt
--- a/turmerictiller/forwarding/effects.py
+++ b/turmerictiller/forwarding/effects.py
@@ -19,6 +19,7 @@
 
     :param fresh: use no connection that has been idle for long, because a request that is lost on
         it can not be repeated.
+    :param settle: send nothing on a new connection until the server has had time to reset it.
     """
 
     attempt_id: int
@@ -27,6 +28,7 @@
     address: str
     budget_ms: float
     fresh: bool = False
+    settle: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +45,14 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReleaseConnections:
+    """Close the connections to a server that have been idle for some time."""
+
+    address: str
+    idle_ms: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeConnection:
     """Open a connection to a server and tell whether that was possible."""
@@ -128,6 +138,7 @@
     SendAttempt
     | AbortAttempt
     | ForgetServer
+    | ReleaseConnections
     | ProbeConnection
     | AskPeer
     | PassAnswer
--- a/turmerictiller/forwarding/events.py
+++ b/turmerictiller/forwarding/events.py
@@ -81,6 +81,8 @@
     RESET = "reset"
     BAD_ANSWER = "bad_answer"
     OTHER_SERVER = "other_server"
+    # The server reset a new connection at once, as it does with those beyond its limit.
+    NOT_ACCEPTED = "not_accepted"
 
     @property
     def is_unreachable(self) -> bool:
--- a/turmerictiller/forwarding/isolation.py
+++ b/turmerictiller/forwarding/isolation.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from turmerictiller.forwarding.contention import release_connections
 from turmerictiller.forwarding.effects import LogDecision, ProbeConnection
 from turmerictiller.forwarding.overload import least_parts
 from turmerictiller.forwarding.servers import is_last_resort
@@ -38,6 +39,7 @@
 def on_review_due(state: State, key: None) -> None:
     """Find out whether this instance is cut off, or whether it still is."""
     state.timers.add(state.now + REVIEW_MS, TimerKind.REVIEW)
+    release_connections(state)
     if state.is_cut_off:
         _probe_one(state)
     elif _is_cut(state):
--- a/turmerictiller/forwarding/peer_model.py
+++ b/turmerictiller/forwarding/peer_model.py
@@ -35,6 +35,17 @@
     slowness: float
 
 
+@dataclass(frozen=True, slots=True)
+class ContestedServer:
+    """What is told of a server that turned away a new connection.
+
+    :param age_ms: time since then.
+    """
+
+    server_id: str
+    age_ms: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class Hello:
     """What one instance tells another.
@@ -53,6 +64,7 @@
     wants_documents: bool
     slow_servers: tuple[SlowServer, ...] = ()
     live_instances: int = 0
+    contested_servers: tuple[ContestedServer, ...] = ()
 
 
 @dataclass(slots=True)
--- a/turmerictiller/forwarding/peers.py
+++ b/turmerictiller/forwarding/peers.py
@@ -11,6 +11,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from turmerictiller.forwarding.contention import contested_servers, on_contested_told
 from turmerictiller.forwarding.effects import AskPeer, LogDecision
 from turmerictiller.forwarding.fleet_size import note_number
 from turmerictiller.forwarding.peer_model import Hello, PeerEntry, PeerState
@@ -69,6 +70,7 @@
             _take(state, entry)
     note_number(state, hello.live_instances)
     on_slowness_told(state, hello)
+    on_contested_told(state, hello)
     own = state.own_incarnation
     state.crashes_by_peer[hello.sender.id] = (
         hello.crashes_by_fingerprint if hello.sender.incarnation != own else {}
@@ -128,4 +130,5 @@
         configuration is None or not state.servers_listed or state.registry_lost,
         slow_servers(state),
         len(state.peers_by_id) + 1,
+        contested_servers(state),
     )
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -61,6 +61,7 @@
     :param slow_weight: this one's share of the slow answers of all instances, at ``slow_at``.
     :param slow_by_others: counts as slow because of answers that other instances had.
     :param slow_slowness: times of those answers as a multiple of the usual one.
+    :param contested_at: when it last turned away a new connection of any instance.
     """
 
     entry: ServerEntry
@@ -86,6 +87,7 @@
     slow_slowness: float = 1.0
     slow_at: Millis = 0.0
     slow_by_others: bool = False
+    contested_at: Millis = float("-inf")
 
 
 @dataclass(slots=True)
@@ -133,6 +135,7 @@
     :param tried: servers that got the request, whether they ran it or not.
     :param runs: servers that may have run it.
     :param sends: attempts so far.
+    :param not_accepted: attempts that did not count as runs because a new connection was reset.
     """
 
     service: str
@@ -140,6 +143,7 @@
     attempt_ids: list[int] = field(default_factory=list)
     runs: int = 0
     sends: int = 0
+    not_accepted: int = 0
     answer: UpstreamAnswer | None = None
     failed: str = ""
     is_waiting: bool = False
@@ -222,6 +226,7 @@
     peers_by_id: dict[str, PeerState] = field(default_factory=dict)
     slow_server_ids: dict[str, None] = field(default_factory=dict)
     slow_share: float = 0.0
+    contested_server_ids: dict[str, None] = field(default_factory=dict)
     most_instances: int = 1
     most_instances_at: Millis = 0.0
     suspects_by_fingerprint: dict[int, Suspect] = field(default_factory=dict)
--- a/turmerictiller/instances.thrift
+++ b/turmerictiller/instances.thrift
@@ -37,6 +37,12 @@
   3: double slowness,
 }
 
+/** A server that turned away a new connection. */
+struct ContestedServer {
+  1: string server_id,
+  2: i32 age_ms,
+}
+
 /** Question and answer of one exchange. */
 struct Exchange {
   1: i16 protocol,
@@ -50,4 +56,5 @@
   9: optional list<SlowServer> slow_servers,
   /** How many instances the sender counts, itself included. */
   10: optional i32 live_instances,
+  11: optional list<ContestedServer> contested_servers,
 }
--- a/turmerictiller/platform/http_dialect.py
+++ b/turmerictiller/platform/http_dialect.py
@@ -70,9 +70,10 @@
     )
 
 
-def accepts(response: RawResponse, request_id: bytes) -> bool:
+def accepts(response: RawResponse, request_id: bytes, must_name: bool) -> bool:
     """Return whether a response is not another request's."""
-    return response.values_by_name.get(REQUEST_ID, request_id) == request_id
+    named = response.values_by_name.get(REQUEST_ID)
+    return not must_name if named is None else named == request_id
 
 
 def read_answer(response: RawResponse) -> UpstreamAnswer | Failure:
--- a/turmerictiller/platform/store.py
+++ b/turmerictiller/platform/store.py
@@ -110,7 +110,7 @@
                 future.set_result(response)
 
         data = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
-        exchange = Exchange(data, lambda response: True, on_response, on_failure)
+        exchange = Exchange(data, lambda response, must_name: True, on_response, on_failure)
         self.pool.send(self.address, exchange)
         try:
             async with asyncio.timeout(timeout_ms / 1000):
--- a/turmerictiller/transport/dialect.py
+++ b/turmerictiller/transport/dialect.py
@@ -34,14 +34,15 @@
     :param read_request: returns ``None`` for a request that can not be forwarded.
     :param prepare: the part of a request that is the same for all attempts.
     :param write_attempt: a prepared request to a server, with the time that is left.
-    :param accepts: whether a response belongs to the request with this identity.
+    :param accepts: whether a response belongs to the request with this identity; takes whether it
+        has to name one.
     :param read_answer: what a response to an attempt says, or why it is none.
     """
 
     read_request: Callable[[RawRequest], CallerRequest | None]
     prepare: Callable[[RawRequest], bytes]
     write_attempt: Callable[[bytes, bytes, str, float], bytes]
-    accepts: Callable[[RawResponse, bytes], bool]
+    accepts: Callable[[RawResponse, bytes, bool], bool]
     read_answer: Callable[[RawResponse], UpstreamAnswer | Failure]
     write_answer: Callable[[UpstreamAnswer, bool], bytes]
     write_merged: Callable[[AnswerMerged, str, bool], bytes]
--- a/turmerictiller/transport/http_client.py
+++ b/turmerictiller/transport/http_client.py
@@ -28,6 +28,10 @@
 IDLE_MARGIN_MS = 1_000.0  # servers tell whole seconds
 FRESH_MS = 500.0  # idle time up to which a connection carries a request that must not be lost
 MAX_IDLE = 4  # idle connections kept per address
+# A server that has no room for a new connection accepts and resets it, within one way there and back.
+# Opening a connection alone keeps a server busy for longer than that, so it has run nothing.
+NOT_ACCEPTED_MS = 5.0
+SETTLE_MS = 3.0  # a reset from another failure domain is here by then
 MAX_ANSWER_BYTES = 8_388_608
 
 _KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
@@ -37,13 +41,16 @@
 class Exchange:
     """One request on a connection, and what is called with its end.
 
-    :param accept: returns whether a response belongs to this request.
+    :param accept: returns whether a response belongs to this request; takes whether it has to
+        name the request.
+    :param settle: send nothing on a new connection until the server has had time to reset it.
     """
 
     data: bytes
-    accept: Callable[[RawResponse], bool]
+    accept: Callable[[RawResponse, bool], bool]
     on_response: Callable[[RawResponse], None]
     on_failure: Callable[[Failure, bool], None]
+    settle: bool = False
     connection: ClientConnection | None = None
     opening: asyncio.Task[None] | None = None
     ended: bool = False
@@ -59,6 +66,9 @@
         self.idle_since: Millis = 0.0
         self.keep_ms = DEFAULT_IDLE_MS
         self.closed = False
+        self._sent_at: Millis = 0.0
+        self._is_first = True
+        self._names_requests = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._complete: list[RawResponse] = []
@@ -78,6 +88,7 @@
         """Send a request on this idle connection."""
         exchange.connection = self
         self.exchange = exchange
+        self._sent_at = self.pool.clock.now_ms()
         assert self._transport is not None
         self._transport.write(exchange.data)
 
@@ -90,6 +101,7 @@
             found.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
     def data_received(self, data: bytes) -> None:
+        self._is_first = False
         if self.exchange is None:
             # Bytes that belong to no request.
             self.abort()
@@ -114,8 +126,15 @@
             self._finish_message(int(self._parser.get_status_code()))
             self._deliver()
             return
+        if exc is not None and self._was_not_accepted():
+            self._fail(Failure.NOT_ACCEPTED)
+            return
         self._fail(Failure.CLOSED if exc is None else Failure.RESET)
 
+    def _was_not_accepted(self) -> bool:
+        """Return whether a new connection was reset sooner than its server can run a request."""
+        return self._is_first and self.pool.clock.now_ms() - self._sent_at < NOT_ACCEPTED_MS
+
     # Callbacks of the parser
 
     def on_message_begin(self) -> None:
@@ -163,7 +182,7 @@
         complete, self._complete = self._complete, []
         exchange = self.exchange
         for response in complete:
-            if exchange is None or exchange.ended or not exchange.accept(response):
+            if exchange is None or exchange.ended or not self._accepts(exchange, response):
                 self._reusable = False
                 continue
             self.exchange = None
@@ -173,6 +192,16 @@
             self._release()
             exchange.on_response(response)
 
+    def _accepts(self, exchange: Exchange, response: RawResponse) -> bool:
+        """Return whether a response is that of a request.
+
+        On a connection whose answers have named their requests, one that names none belongs to none.
+        """
+        if exchange.accept(response, True):
+            self._names_requests = True
+            return True
+        return not self._names_requests and exchange.accept(response, False)
+
     def _release(self) -> None:
         assert self._transport is not None
         if not self._reusable or self.closed or self._transport.get_write_buffer_size():
@@ -252,10 +281,12 @@
             if not idle:
                 del self.idle_by_address[connection.address]
 
-    def close_address(self, address: str) -> None:
-        """Close the idle connections to an address."""
+    def close_address(self, address: str, idle_ms: Millis = 0.0) -> None:
+        """Close the connections to an address that have been idle for some time."""
+        now = self.clock.now_ms()
         for connection in list(self.idle_by_address.get(address, ())):
-            connection.abort()
+            if now - connection.idle_since >= idle_ms:
+                connection.abort()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -272,6 +303,8 @@
                 if idle_ms > max_idle_ms:
                     return None
                 idle.pop()
+                if not idle:
+                    del self.idle_by_address[address]
                 return connection
             connection.abort()
             idle = self.idle_by_address.get(address)
@@ -286,11 +319,13 @@
         except (OSError, ValueError):
             _fail_unsent(exchange, Failure.REFUSED)
             return
+        if exchange.settle:
+            await asyncio.sleep(SETTLE_MS / 1000)
         exchange.opening = None
         if exchange.ended:
             connection.abort()
         elif connection.closed:
-            _fail_unsent(exchange, Failure.REFUSED)
+            _fail_unsent(exchange, Failure.NOT_ACCEPTED)
         else:
             connection.send(exchange)
 
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -62,7 +62,9 @@
         body = write_exchange(effect.hello, self._owed(effect.hello))
         head = f"POST {TARGET.decode()} HTTP/1.1\r\nHost: {effect.address}\r\n"
         data = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
-        exchange = Exchange(data, lambda response: True, self._on_answer, self._on_failure)
+        exchange = Exchange(
+            data, lambda response, must_name: True, self._on_answer, self._on_failure
+        )
         self.pool.send(effect.address, exchange)
         loop = asyncio.get_running_loop()
         loop.call_later(ANSWER_TIMEOUT_MS / 1000, self._end, exchange)
--- a/turmerictiller/transport/peer_messages.py
+++ b/turmerictiller/transport/peer_messages.py
@@ -10,7 +10,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from turmerictiller.errors import FrameError
-from turmerictiller.forwarding.peer_model import Hello, PeerEntry, SlowServer
+from turmerictiller.forwarding.peer_model import ContestedServer, Hello, PeerEntry, SlowServer
 from turmerictiller.forwarding.peers import MAX_PEERS
 from turmerictiller.util.wire_checks import MAX_LIST_LENGTH, finite, integer, ip_address, text
 from turmerictiller.wire.instances import constants, ttypes
@@ -58,6 +58,10 @@
             for item in hello.slow_servers
         ],
         live_instances=hello.live_instances,
+        contested_servers=[
+            ttypes.ContestedServer(server_id=item.server_id, age_ms=_small(item.age_ms))
+            for item in hello.contested_servers
+        ],
     )
     buffer = TMemoryBuffer()
     message.write(TBinaryProtocolAccelerated(buffer))
@@ -90,6 +94,9 @@
         bool(message.wants_documents),
         tuple(_slow_server(item) for item in _items(message.slow_servers or [], MAX_LIST_LENGTH)),
         min(MAX_PEERS, integer(message.live_instances or 0, "live_instances")),
+        tuple(
+            _contested(item) for item in _items(message.contested_servers or [], MAX_LIST_LENGTH)
+        ),
     )
     return hello, [_document(item) for item in _items(message.documents, MAX_DOCUMENTS)]
 
@@ -99,10 +106,14 @@
         id=entry.id,
         address=entry.address,
         incarnation=entry.incarnation,
-        age_ms=min(int(entry.age_ms), MAX_SMALL),
+        age_ms=_small(entry.age_ms),
     )
 
 
+def _small(value: float) -> int:
+    return min(int(value), MAX_SMALL)
+
+
 def _entry(item: Any) -> PeerEntry:
     if item is None:
         raise FrameError("an instance is missing")
@@ -122,6 +133,12 @@
     )
 
 
+def _contested(item: Any) -> ContestedServer:
+    return ContestedServer(
+        text(item.server_id, "server_id", MAX_ID_CHARS), float(integer(item.age_ms, "age_ms"))
+    )
+
+
 def _document(item: Any) -> Document:
     value = item.value
     if value is not None and not isinstance(value, bytes):
--- a/turmerictiller/transport/shell.py
+++ b/turmerictiller/transport/shell.py
@@ -82,6 +82,9 @@
             effects.SendAttempt: self._send,
             effects.AbortAttempt: self._abort,
             effects.ForgetServer: lambda effect: self.pool.close_address(effect.address),
+            effects.ReleaseConnections: lambda effect: self.pool.close_address(
+                effect.address, effect.idle_ms
+            ),
             effects.ProbeConnection: self._probe_connection,
             effects.AskPeer: lambda effect: self.ask_peer(effect),
             effects.PassAnswer: self._pass_answer,
@@ -229,9 +232,10 @@
         request_id = call.request.request_id.encode("latin-1")
         exchange = Exchange(
             data,
-            lambda response: self.dialect.accepts(response, request_id),
+            lambda response, must_name: self.dialect.accepts(response, request_id, must_name),
             lambda response: self._on_response(attempt_id, response),
             lambda failure, may_have_run: self._on_failure(attempt_id, failure, may_have_run),
+            effect.settle,
         )
         self._exchanges_by_attempt[attempt_id] = exchange
         self.pool.send(effect.address, exchange, effect.fresh)
--- a/turmerictiller/wire/instances/ttypes.py
+++ b/turmerictiller/wire/instances/ttypes.py
@@ -388,6 +388,88 @@
         return not (self == other)
 
 
+class ContestedServer(object):
+    """
+    A server that turned away a new connection.
+
+    Attributes:
+     - server_id
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'age_ms',
+    )
+
+
+    def __init__(self, server_id=None, age_ms=None,):
+        self.server_id = server_id
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ContestedServer')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Exchange(object):
     """
     Question and answer of one exchange.
@@ -403,6 +485,7 @@
      - documents
      - slow_servers
      - live_instances: How many instances the sender counts, itself included.
+     - contested_servers
 
     """
 
@@ -417,10 +500,11 @@
         'documents',
         'slow_servers',
         'live_instances',
+        'contested_servers',
     )
 
 
-    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, suspicions=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None,):
+    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, suspicions=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None, contested_servers=None,):
         self.protocol = protocol
         self.sender = sender
         self.leaving = leaving
@@ -431,6 +515,7 @@
         self.documents = documents
         self.slow_servers = slow_servers
         self.live_instances = live_instances
+        self.contested_servers = contested_servers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -516,6 +601,17 @@
                     self.live_instances = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.contested_servers = []
+                    (_etype27, _size24) = iprot.readListBegin()
+                    for _i28 in range(_size24):
+                        _elem29 = ContestedServer()
+                        _elem29.read(iprot)
+                        self.contested_servers.append(_elem29)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -541,15 +637,15 @@
         if self.instances is not None:
             oprot.writeFieldBegin('instances', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.instances))
-            for iter24 in self.instances:
-                iter24.write(oprot)
+            for iter30 in self.instances:
+                iter30.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter25 in self.suspicions:
-                iter25.write(oprot)
+            for iter31 in self.suspicions:
+                iter31.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -563,21 +659,28 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter26 in self.documents:
-                iter26.write(oprot)
+            for iter32 in self.documents:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slow_servers is not None:
             oprot.writeFieldBegin('slow_servers', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.slow_servers))
-            for iter27 in self.slow_servers:
-                iter27.write(oprot)
+            for iter33 in self.slow_servers:
+                iter33.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.live_instances is not None:
             oprot.writeFieldBegin('live_instances', TType.I32, 10)
             oprot.writeI32(self.live_instances)
             oprot.writeFieldEnd()
+        if self.contested_servers is not None:
+            oprot.writeFieldBegin('contested_servers', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.contested_servers))
+            for iter34 in self.contested_servers:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -629,6 +732,12 @@
     (2, TType.DOUBLE, 'weight', None, None, ),  # 2
     (3, TType.DOUBLE, 'slowness', None, None, ),  # 3
 )
+all_structs.append(ContestedServer)
+ContestedServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
 all_structs.append(Exchange)
 Exchange.thrift_spec = (
     None,  # 0
@@ -642,6 +751,7 @@
     (8, TType.LIST, 'documents', (TType.STRUCT, [Document, None], False), None, ),  # 8
     (9, TType.LIST, 'slow_servers', (TType.STRUCT, [SlowServer, None], False), None, ),  # 9
     (10, TType.I32, 'live_instances', None, None, ),  # 10
+    (11, TType.LIST, 'contested_servers', (TType.STRUCT, [ContestedServer, None], False), None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
