--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -70,7 +70,7 @@
     state = prepared(1)
     for number in range(peers):
         state.peers_by_id[f"front-zone-{number}"] = PeerState("10.100.100.1:7000", 2**61, 0.0)
-    return len(write_exchange(own_hello(state), ()))
+    return len(write_exchange(own_hello(state)))
 
 
 def main() -> None:
--- a/tests/forwarding/exchanging.py
+++ b/tests/forwarding/exchanging.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from tests.forwarding.driving import SETTINGS, Driver, configuration, gather_route, single_route
 from turmerictiller.forwarding.effects import AskPeer
@@ -10,12 +11,23 @@
 from turmerictiller.forwarding.peers import own_hello
 from turmerictiller.forwarding.state import new_state
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
 
-def instance(number: int, seeds: tuple[int, ...] = (1, 2)) -> Driver:
+    from turmerictiller.forwarding.peer_model import Hello
+
+STEPS = 4  # a second, so that news that are passed on at once take less than an exchange
+
+
+def instance(
+    number: int, seeds: tuple[int, ...] = (1, 2), domain: str = "north", bound_ms: float = 5_000.0
+) -> Driver:
     """Return a driver of an instance at an address of its own."""
     settings = replace(
         SETTINGS,
         instance_id=f"e{number}",
+        failure_domain=domain,
+        registry_bound_ms=bound_ms,
         seed=number,
         peer_address=f"10.0.0.{number}:7000",
         seed_addresses=tuple(f"10.0.0.{seed}:7000" for seed in seeds),
@@ -25,14 +37,22 @@
     return driver
 
 
-def exchange_all(drivers: list[Driver], seconds: int, cut: tuple[str, ...] = ()) -> None:
-    """Let instances ask each other for some seconds, but for those that are cut off."""
+def exchange_all(
+    drivers: list[Driver],
+    seconds: int,
+    cut: Collection[str] = (),
+    on_answer: Callable[[Driver, Hello, Hello], None] | None = None,
+) -> None:
+    """Let instances ask each other for some seconds, but for those that are cut off.
+
+    :param on_answer: called with the instance that asked, its question and the answer.
+    """
     by_address = {driver.state.settings.peer_address: driver for driver in drivers}
-    for _ in range(seconds):
+    for _ in range(seconds * STEPS):
         questions = [
             (driver, effect)
             for driver in drivers
-            for effect in driver.wait(1_000)
+            for effect in driver.wait(1_000 / STEPS)
             if isinstance(effect, AskPeer)
         ]
         for driver, effect in questions:
@@ -43,3 +63,5 @@
             answer = own_hello(asked.state)
             asked.give(PeerHeard(asked.now, effect.hello))
             driver.give(PeerHeard(driver.now, answer))
+            if on_answer is not None:
+                on_answer(driver, effect.hello, answer)
--- a/tests/forwarding/test_contention.py
+++ b/tests/forwarding/test_contention.py
@@ -97,7 +97,7 @@
     driver.wait(1_500)
     hello = own_hello(driver.state)
     assert [item.age_ms for item in hello.contested_servers] == [1_500.0]
-    assert read_exchange(write_exchange(hello, ()))[0] == hello
+    assert read_exchange(write_exchange(hello))[0] == hello
     old = replace(hello.contested_servers[0], age_ms=CONTESTED_MS + 1)
     other = instance(2)
     other.give(PeerHeard(other.now, replace(hello, contested_servers=(old,))))
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -14,10 +15,21 @@
 from turmerictiller.forwarding.effects import Refuse
 from turmerictiller.forwarding.events import Failure, PeerHeard
 from turmerictiller.forwarding.fleet_size import ASSUMED_INSTANCES, instances
-from turmerictiller.forwarding.peer_model import Hello, PeerEntry, SlowServer
+from turmerictiller.forwarding.peer_model import (
+    ContestedServer,
+    CrashReport,
+    Hello,
+    PeerEntry,
+    SlowServer,
+)
 from turmerictiller.forwarding.peers import LEAST_LIFE_MS, MAX_PEERS, own_hello
 from turmerictiller.forwarding.quarantine import QUARANTINE_MS
-from turmerictiller.transport.peer_messages import Document, read_exchange, write_exchange
+from turmerictiller.transport.peer_messages import (
+    Document,
+    Documents,
+    read_exchange,
+    write_exchange,
+)
 
 # A node may spend 9 kB a second on control, and takes part in two exchanges, each with two messages.
 MOST_BYTES = 9_000 / 4
@@ -35,7 +47,7 @@
     """Guards against control traffic that grows with the square of the fleet."""
     drivers = [instance(number) for number in range(1, 61)]
     exchange_all(drivers, 12)
-    sizes = [len(write_exchange(own_hello(driver.state), ())) for driver in drivers]
+    sizes = [len(write_exchange(own_hello(driver.state))) for driver in drivers]
     assert max(sizes) <= MOST_BYTES
 
 
@@ -89,6 +101,53 @@
     assert drivers[0].sent(drivers[0].request("/one/x", fingerprint=99))
 
 
+def reported(driver: Driver, number: int, origin: int, age_ms: float = 0.0) -> None:
+    """Tell an instance of calls that crashed servers, as another one saw them."""
+    report = CrashReport(99, origin, number, age_ms)
+    hello = replace(own_hello(instance(50).state), crash_reports=(report,))
+    driver.give(PeerHeard(driver.now, hello))
+
+
+def is_refused(driver: Driver) -> bool:
+    """Return whether an instance refuses the request that crashes servers."""
+    return isinstance(driver.outcome(driver.request("/one/x", fingerprint=99)), Refuse)
+
+
+@pytest.mark.parametrize("number", [195, 654])
+def test_all_instances_refuse_a_request_soon_after_its_third_crash(number: int) -> None:
+    """Guards against servers of a large fleet that crash until each instance has seen it."""
+    drivers = [instance(index) for index in range(1, number + 1)]
+    exchange_all(drivers, 12)
+    for origin, driver in enumerate((drivers[7], drivers[100], drivers[150])):
+        reported(driver, 1, origin)
+    exchange_all(drivers, 6)  # the time that the platform allows
+    assert all(is_refused(driver) for driver in drivers)
+
+
+def test_crashes_that_are_told_on_several_ways_count_once() -> None:
+    """Guards against requests that are refused because one crash is told again and again."""
+    drivers = [instance(index) for index in range(1, 13)]
+    exchange_all(drivers, 4)
+    reported(drivers[0], 2, origin=5)
+    exchange_all(drivers, 10)
+    assert not any(is_refused(driver) for driver in drivers)
+    reported(drivers[3], 1, origin=6)
+    exchange_all(drivers, 4)
+    assert all(is_refused(driver) for driver in drivers)
+
+
+def test_suspicion_that_is_taken_back_is_told() -> None:
+    """Guards against a request that others refuse after it was answered where it was suspected."""
+    drivers = [instance(index) for index in range(1, 6)]
+    exchange_all(drivers, 4)
+    reported(drivers[0], 3, origin=5)
+    exchange_all(drivers, 3)
+    assert all(is_refused(driver) for driver in drivers)
+    reported(drivers[1], 0, origin=5)
+    exchange_all(drivers, 4)
+    assert not any(is_refused(driver) for driver in drivers)
+
+
 def test_answer_takes_the_suspicion_back() -> None:
     """Guards against frequent requests that are refused because servers crashed beside them."""
     driver = instance(1)
@@ -100,39 +159,53 @@
     assert driver.sent(driver.request("/one/x", fingerprint=99))
 
 
+AGES = st.integers(0, 2**31 - 2).map(float)
+COUNTS = st.integers(0, 2**31 - 1)
 ENTRIES = st.builds(
     PeerEntry,
     st.text(max_size=20),
     st.just("10.0.0.1:7000"),
     st.integers(0, 2**62),
-    st.integers(0, 2**31 - 1).map(float),
+    AGES,
+    st.text(max_size=20),
 )
 HELLOS = st.builds(
     Hello,
     ENTRIES,
     st.booleans(),
     st.lists(ENTRIES, max_size=5).map(tuple),
-    st.dictionaries(st.integers(0, 2**56 - 1), st.integers(0, 2**31 - 1), max_size=5),
     st.integers(0, 2**62),
     st.booleans(),
     st.lists(
         st.builds(SlowServer, st.text(max_size=20), st.floats(0, 32), st.floats(0, 100)), max_size=5
     ).map(tuple),
     st.integers(0, MAX_PEERS),
+    st.lists(st.builds(ContestedServer, st.text(max_size=20), AGES), max_size=5).map(tuple),
+    st.lists(
+        st.builds(CrashReport, st.integers(0, 2**56 - 1), st.integers(0, 2**62), COUNTS, AGES),
+        max_size=5,
+    ).map(tuple),
+    st.integers(0, 2**62),
+    AGES | st.just(math.inf),
+    st.booleans(),
 )
-DOCUMENTS = st.lists(
-    st.builds(
-        Document,
-        st.text(max_size=20),
-        st.integers(0, 2**62),
-        st.none() | st.binary(max_size=50),
+DOCUMENTS = st.builds(
+    Documents,
+    st.lists(
+        st.builds(
+            Document,
+            st.text(max_size=20),
+            st.integers(0, 2**62),
+            st.none() | st.binary(max_size=50),
+        ),
+        max_size=5,
     ),
-    max_size=5,
+    st.none() | st.integers(0, 2**62),
 )
 
 
 @given(HELLOS, DOCUMENTS)
-def test_exchange_survives_the_wire(hello: Hello, documents: list[Document]) -> None:
+def test_exchange_survives_the_wire(hello: Hello, documents: Documents) -> None:
     """Guards against fields that are lost or mixed up between instances."""
     assert read_exchange(write_exchange(hello, documents)) == (hello, documents)
 
@@ -140,7 +213,7 @@
 @given(HELLOS, st.data())
 def test_damaged_exchange_is_refused_or_read(hello: Hello, data: st.DataObject) -> None:
     """Guards against bytes of another program that stop an instance."""
-    whole = write_exchange(hello, [])
+    whole = write_exchange(hello)
     cut = data.draw(st.integers(0, len(whole) - 1))
     noise = data.draw(st.binary(max_size=8))
     try:
@@ -151,7 +224,7 @@
 
 def test_other_protocol_version_is_refused() -> None:
     """Guards against instances of different versions that misread each other."""
-    whole = bytearray(write_exchange(own_hello(instance(1).state), []))
+    whole = bytearray(write_exchange(own_hello(instance(1).state)))
     at = whole.index(b"\x06\x00\x01") + 3
     whole[at : at + 2] = b"\x00\x09"
     with pytest.raises(FrameError):
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -3,12 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from turmerictiller.clock import Clock, Millis
-from turmerictiller.forwarding.events import Event, RegistryLost, ServersListed
-from turmerictiller.platform.registry import Registry
-from turmerictiller.platform.store import Item, Store
+from turmerictiller.forwarding.events import (
+    Event,
+    RegistryLost,
+    RegistryRead,
+    ServerEntryRemoved,
+    ServersListed,
+)
+from turmerictiller.forwarding.readers import ReadPlan
+from turmerictiller.platform.registry import MAX_REMOVED, REST_MS, Registry
+from turmerictiller.platform.store import HistoryGoneError, Item, Store
 from turmerictiller.transport.http_client import ConnectionPool
+from turmerictiller.transport.peer_messages import Document
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
 
 
 class FaultyStore(Store):
@@ -39,7 +51,7 @@
         def log(event: str, fields: dict[str, object], urgent: bool) -> None:
             lines.append(event)
 
-        registry = Registry(store, clock, 3_000.0, events.append, log)
+        registry = Registry(store, clock, 3_000.0, lambda: ReadPlan.ALONE, events.append, log)
         registry.start()
         async with asyncio.timeout(3):
             while not any(isinstance(event, ServersListed) for event in events):
@@ -49,3 +61,132 @@
     asyncio.run(play())
     assert isinstance(events[0], RegistryLost)
     assert lines == ["registry_fault"]
+
+
+ENTRY = b'{"service": "a", "address": "10.0.0.1:9000", "zone": "z", "slots": 3, "state": "ready"}'
+
+
+class ScriptedStore(Store):
+    """A store that a test fills; its watches end when it changes or their time is over."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__("127.0.0.1:1", ConnectionPool(clock), clock)
+        self.items: dict[str, Item] = {}
+        self.revision = 5
+        self.history: list[Item] = []
+        self.has_history = True
+
+    def put(self, key: str, value: bytes | None) -> None:
+        """Write or remove a key."""
+        self.revision += 1
+        item = Item(key, self.revision, value)
+        self.items[key] = item
+        if value is None:
+            del self.items[key]
+        self.history.append(item)
+
+    async def read_all(self, prefix: str) -> tuple[int, list[Item]]:
+        self.calls += 1
+        return self.revision, list(self.items.values())
+
+    async def watch(self, prefix: str, revision: int, wait_ms: Millis) -> tuple[int, list[Item]]:
+        self.calls += 1
+        end = self.clock.now_ms() + min(wait_ms, 50.0)
+        while True:
+            if not self.has_history:
+                self.has_history = True
+                raise HistoryGoneError("history_gone")
+            new = [item for item in self.history if item.revision > revision]
+            if new or self.clock.now_ms() >= end:
+                return self.revision, new
+            await asyncio.sleep(0.005)
+
+
+async def settled(registry: Registry, store: ScriptedStore) -> None:
+    """Wait until all changes of a store are known."""
+    async with asyncio.timeout(5):
+        while registry.revision < store.revision:
+            await asyncio.sleep(0.01)
+
+
+def follow(
+    play: Callable[[Registry, ScriptedStore, list[Event]], Awaitable[None]],
+    plan: Callable[[], ReadPlan] = lambda: ReadPlan.READER,
+) -> None:
+    """Run a registry on a scripted store."""
+
+    async def run() -> None:
+        clock = Clock()
+        store = ScriptedStore(clock)
+        events: list[Event] = []
+        registry = Registry(
+            store, clock, 300.0, plan, events.append, lambda event, fields, urgent: None
+        )
+        store.put("servers/s1", ENTRY)
+        registry.start()
+        await settled(registry, store)
+        await play(registry, store, events)
+        registry.close()
+
+    asyncio.run(run())
+
+
+def test_changes_since_a_revision_are_told_with_what_was_removed() -> None:
+    """Guards against instances that go on using a server because its reader only saw a new list."""
+
+    async def play(registry: Registry, store: ScriptedStore, events: list[Event]) -> None:
+        before = registry.revision
+        store.put("servers/s2", ENTRY)
+        await settled(registry, store)
+        assert registry.changes_since(before) == [Document("servers/s2", before + 1, ENTRY)]
+        # The history is gone, so the removal shows in the next list only.
+        store.put("servers/s1", None)
+        store.history.clear()
+        store.has_history = False
+        await settled(registry, store)
+        changes = {item.key: item.value for item in registry.changes_since(before) or ()}
+        assert changes == {"servers/s2": ENTRY, "servers/s1": None}
+        assert registry.changes_since(0) is None
+
+    follow(play)
+
+
+def test_changes_that_are_not_known_in_full_are_not_told() -> None:
+    """Guards against an instance that counts as up to date though it missed a removal."""
+
+    async def play(registry: Registry, store: ScriptedStore, events: list[Event]) -> None:
+        before = registry.revision
+        for number in range(MAX_REMOVED + 1):
+            store.put(f"servers/x{number}", ENTRY)
+            store.put(f"servers/x{number}", None)
+        await settled(registry, store)
+        assert registry.changes_since(before) is None
+        assert registry.changes_since(registry.revision) == []
+
+    follow(play)
+
+
+def test_instance_that_rests_makes_no_calls_and_takes_what_it_is_told() -> None:
+    """Guards against calls of every instance, and against changes that were only half taken over."""
+    plan = ReadPlan.READER
+
+    async def play(registry: Registry, store: ScriptedStore, events: list[Event]) -> None:
+        nonlocal plan
+        plan = ReadPlan.RESTS
+        await asyncio.sleep(0.1)
+        calls = store.calls
+        revision = registry.revision
+        changes = [Document("servers/s1", revision + 1, None)]
+        registry.on_peer_changes(changes, revision + 2, 123.0)
+        await asyncio.sleep(2 * REST_MS / 1000)
+        assert store.calls == calls
+        assert any(isinstance(event, ServerEntryRemoved) for event in events)
+        assert isinstance(events[-1], RegistryRead)
+        assert (events[-1].revision, events[-1].read_at) == (revision + 2, 123.0)
+        plan = ReadPlan.READER
+        store.revision = revision + 2
+        store.put("servers/s3", ENTRY)
+        await settled(registry, store)
+        assert "servers/s3" in registry.items_by_key
+
+    follow(play, lambda: plan)
--- a/turmerictiller/forwarding/events.py
+++ b/turmerictiller/forwarding/events.py
@@ -176,6 +176,18 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class RegistryRead:
+    """All changes of the registry up to a revision were told.
+
+    :param read_at: when the registry, here or for another instance, had nothing newer.
+    """
+
+    at: Millis
+    revision: int
+    read_at: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsChanged:
     """The settings were read again."""
@@ -211,6 +223,7 @@
     | ServerEntryRemoved
     | ServersListed
     | RegistryLost
+    | RegistryRead
     | SettingsChanged
     | ShutdownRequested
     | CallersLeft
--- a/turmerictiller/forwarding/peer_model.py
+++ b/turmerictiller/forwarding/peer_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,21 @@
     address: str
     incarnation: int
     age_ms: Millis
+    domain: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Calls of a request that crashed servers, as one instance saw them.
+
+    :param origin: the incarnation of the instance that saw them.
+    :param age_ms: time since that instance last changed the number.
+    """
+
+    fingerprint: int
+    origin: int
+    crashes: int
+    age_ms: Millis
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,21 +66,27 @@
 class Hello:
     """What one instance tells another.
 
-    :param crashes_by_fingerprint: calls that crashed a server, by request, as the sender saw it.
     :param version: version of its configuration; 0 without one.
     :param live_instances: how many the sender counts, itself included; 0 if it does not say.
     :param wants_documents: the sender can not read them where they are published.
+    :param crash_reports: what the sender and others have seen of requests that crash servers.
+    :param revision: revision of the registry up to which the sender knows all changes.
+    :param read_age_ms: time since the registry had nothing newer for the sender.
+    :param follows: the sender wants the changes after its revision.
     """
 
     sender: PeerEntry
     leaving: bool
     entries: tuple[PeerEntry, ...]
-    crashes_by_fingerprint: dict[int, int]
     version: int
     wants_documents: bool
     slow_servers: tuple[SlowServer, ...] = ()
     live_instances: int = 0
     contested_servers: tuple[ContestedServer, ...] = ()
+    crash_reports: tuple[CrashReport, ...] = ()
+    revision: int = 0
+    read_age_ms: Millis = math.inf
+    follows: bool = False
 
 
 @dataclass(slots=True)
@@ -74,3 +96,4 @@
     address: str
     incarnation: int
     heard_at: Millis
+    domain: str = ""
--- a/turmerictiller/forwarding/peers.py
+++ b/turmerictiller/forwarding/peers.py
@@ -15,6 +15,14 @@
 from turmerictiller.forwarding.effects import AskPeer, LogDecision
 from turmerictiller.forwarding.fleet_size import note_number
 from turmerictiller.forwarding.peer_model import Hello, PeerEntry, PeerState
+from turmerictiller.forwarding.quarantine import crash_reports, on_crashes_told
+from turmerictiller.forwarding.readers import (
+    ReadPlan,
+    is_reader,
+    other_reader_addresses,
+    read_plan,
+    reader_addresses,
+)
 from turmerictiller.forwarding.shared_slowness import on_slowness_told, slow_servers
 from turmerictiller.forwarding.state import TimerKind
 from turmerictiller.phases import ProcessPhase
@@ -33,7 +41,11 @@
 # Instances that an exchange tells of, so that it costs the same in a fleet of any size.
 MAX_TOLD = 24
 MAX_PEERS = 2_000
-SEED_SHARE = 0.2  # of the questions go to addresses from the settings, so that partitions heal
+SEED_SHARE = 0.1  # of the questions go to addresses from the settings, so that partitions heal
+READER_SHARE = 0.7  # of the questions go to readers of the registry, where few instances read it
+NEWS_FANOUT = (
+    3  # three questions by each instance reach 94% of a fleet, the next exchanges the rest
+)
 
 
 def start_exchanges(state: State) -> None:
@@ -47,13 +59,38 @@
     """Ask one other instance."""
     state.timers.add(state.now + EXCHANGE_MS, TimerKind.EXCHANGE)
     _forget_silent(state)
+    addresses = _addresses_to_ask(state)
+    if addresses:
+        state.out.append(AskPeer(state.rng.choice(addresses), own_hello(state)))
+
+
+def on_news_due(state: State, key: None) -> None:
+    """Ask several instances at once, so that news reach all within a second."""
     own = state.settings.peer_address
     addresses = [peer.address for peer in state.peers_by_id.values() if peer.address != own]
+    hello = own_hello(state)
+    for address in state.rng.sample(addresses, min(NEWS_FANOUT, len(addresses))):
+        state.out.append(AskPeer(address, hello))
+
+
+def _addresses_to_ask(state: State) -> list[str]:
+    """Return the addresses of which one is asked.
+
+    In a fleet in which few read the registry, instances ask mostly those few: that carries what they
+    read, and all other news take two or three exchanges in a fleet of any size.
+    """
+    own = state.settings.peer_address
+    others = [peer.address for peer in state.peers_by_id.values() if peer.address != own]
     seeds = [address for address in state.settings.seed_addresses if address != own]
-    if seeds and (not addresses or state.rng.random() < SEED_SHARE):
-        addresses = seeds
-    if addresses:
-        state.out.append(AskPeer(state.rng.choice(addresses), own_hello(state)))
+    chance = state.rng.random()
+    if seeds and (not others or chance < SEED_SHARE):
+        return seeds
+    plan = read_plan(state, state.now)
+    if plan is ReadPlan.ALONE or chance >= SEED_SHARE + READER_SHARE:
+        return others
+    if is_reader(state):
+        return other_reader_addresses(state) or others
+    return reader_addresses(state, state.settings.failure_domain) or others
 
 
 def on_peer_heard(state: State, event: PeerHeard) -> None:
@@ -71,10 +108,7 @@
     note_number(state, hello.live_instances)
     on_slowness_told(state, hello)
     on_contested_told(state, hello)
-    own = state.own_incarnation
-    state.crashes_by_peer[hello.sender.id] = (
-        hello.crashes_by_fingerprint if hello.sender.incarnation != own else {}
-    )
+    on_crashes_told(state, hello)
 
 
 def _take(state: State, entry: PeerEntry) -> None:
@@ -84,11 +118,14 @@
     peer = state.peers_by_id.get(entry.id)
     if peer is None:
         if len(state.peers_by_id) < MAX_PEERS:
-            state.peers_by_id[entry.id] = PeerState(entry.address, entry.incarnation, heard_at)
+            state.peers_by_id[entry.id] = PeerState(
+                entry.address, entry.incarnation, heard_at, entry.domain
+            )
             fields = {"peer": entry.id, "address": entry.address, "age_ms": round(entry.age_ms)}
             state.out.append(LogDecision("peer_added", fields, urgent=True))
     elif heard_at > peer.heard_at:
         peer.address, peer.incarnation, peer.heard_at = entry.address, entry.incarnation, heard_at
+        peer.domain = entry.domain
 
 
 def peer_life_ms(state: State) -> Millis:
@@ -104,7 +141,6 @@
     for peer_id, peer in list(state.peers_by_id.items()):
         if state.now - peer.heard_at > life_ms:
             del state.peers_by_id[peer_id]
-            state.crashes_by_peer.pop(peer_id, None)
             fields = {"peer": peer_id, "silent_ms": round(state.now - peer.heard_at)}
             state.out.append(LogDecision("peer_lost", fields, urgent=True))
     note_number(state)
@@ -117,18 +153,33 @@
     if len(known) > MAX_TOLD:
         known = state.rng.sample(known, MAX_TOLD)
     entries = tuple(
-        PeerEntry(peer_id, peer.address, peer.incarnation, max(0.0, state.now - peer.heard_at))
+        PeerEntry(
+            peer_id,
+            peer.address,
+            peer.incarnation,
+            max(0.0, state.now - peer.heard_at),
+            peer.domain,
+        )
         for peer_id, peer in known
     )
     configuration = state.configuration
     return Hello(
-        PeerEntry(settings.instance_id, settings.peer_address, state.own_incarnation, 0.0),
+        PeerEntry(
+            settings.instance_id,
+            settings.peer_address,
+            state.own_incarnation,
+            0.0,
+            settings.failure_domain,
+        ),
         state.phase not in (ProcessPhase.STARTING, ProcessPhase.RUNNING),
         entries,
-        {number: suspect.crashes for number, suspect in state.suspects_by_fingerprint.items()},
         configuration.version if configuration else 0,
         configuration is None or not state.servers_listed or state.registry_lost,
         slow_servers(state),
         len(state.peers_by_id) + 1,
         contested_servers(state),
+        crash_reports(state),
+        state.registry_revision,
+        state.now - state.registry_read_at,
+        state.registry_lost or read_plan(state, state.now) is ReadPlan.RESTS,
     )
--- a/turmerictiller/forwarding/reducer.py
+++ b/turmerictiller/forwarding/reducer.py
@@ -11,6 +11,7 @@
     hedging,
     isolation,
     peers,
+    readers,
     requests,
     servers,
     shutdown,
@@ -26,6 +27,7 @@
     ConnectionProbed,
     PeerHeard,
     RegistryLost,
+    RegistryRead,
     RequestArrived,
     ServerEntryRemoved,
     ServerSeen,
@@ -56,6 +58,7 @@
     ServerEntryRemoved: servers.on_server_entry_removed,
     ServersListed: servers.on_servers_listed,
     RegistryLost: servers.on_registry_lost,
+    RegistryRead: readers.on_registry_read,
     SettingsChanged: lambda state, event: _use_settings(state, event),
     ShutdownRequested: shutdown.on_shutdown_requested,
     CallersLeft: shutdown.on_callers_left,
@@ -71,6 +74,7 @@
     TimerKind.SERVERS: servers.on_forget_due,
     TimerKind.REVIEW: isolation.on_review_due,
     TimerKind.EXCHANGE: peers.on_exchange_due,
+    TimerKind.NEWS: peers.on_news_due,
     TimerKind.SHUTDOWN: shutdown.on_shutdown_timer,
 }
 
--- a/turmerictiller/forwarding/settings.py
+++ b/turmerictiller/forwarding/settings.py
@@ -15,6 +15,7 @@
     :param extra_slack: such attempts that are allowed besides, over all instances.
     :param extra_window_ms: time over which these attempts are counted.
     :param drain_ms: time within which a server that leaves must get no new work.
+    :param registry_bound_ms: time within which a change of the registry must take effect.
     :param grace_ms: time from the order to stop until the process is killed.
     """
 
@@ -27,5 +28,6 @@
     extra_slack: float = 0.0
     extra_window_ms: float = 10_000.0
     drain_ms: float = 3_000.0
+    registry_bound_ms: float = 3_000.0
     grace_ms: float = 6_000.0
     max_requests: int = 1_024
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -36,6 +36,7 @@
     SERVERS = "servers"
     REVIEW = "review"
     EXCHANGE = "exchange"
+    NEWS = "news"
     SHUTDOWN = "shutdown"
 
 
@@ -200,13 +201,28 @@
     last_at: Millis = 0.0
 
 
+@dataclass(slots=True)
+class CrashCount:
+    """Calls that crashed servers, as another instance saw them.
+
+    :param changed_at: when that instance last changed the number.
+    """
+
+    crashes: int
+    changed_at: Millis
+
+
 @dataclass(slots=True)
 class State:
     """Everything that the decisions depend on.
 
     :param own_incarnation: drawn at each start.
+    :param news_due_at: when other instances are asked, or were last, because of news.
     :param most_instances: largest number of instances that was seen lately, this one included.
-    :param crashes_by_peer: what other instances tell of requests that crash servers.
+    :param crash_counts_by_fingerprint: what other instances have seen of requests that crash
+        servers, by the incarnation of the instance that saw it.
+    :param registry_revision: revision of the registry up to which all changes are known.
+    :param registry_read_at: when the registry had nothing newer than that.
     :param is_cut_off: servers of other failure domains can not be reached from here, and without
         them some route can not be served.
     """
@@ -230,7 +246,10 @@
     most_instances: int = 1
     most_instances_at: Millis = 0.0
     suspects_by_fingerprint: dict[int, Suspect] = field(default_factory=dict)
-    crashes_by_peer: dict[str, dict[int, int]] = field(default_factory=dict)
+    crash_counts_by_fingerprint: dict[int, dict[int, CrashCount]] = field(default_factory=dict)
+    registry_revision: int = 0
+    registry_read_at: Millis = float("-inf")
+    news_due_at: Millis = float("-inf")
     services_by_name: dict[str, ServiceState] = field(default_factory=dict)
     servers_by_id: dict[str, ServerState] = field(default_factory=dict)
     removed_revision_by_id: dict[str, int] = field(default_factory=dict)
--- a/turmerictiller/instances.thrift
+++ b/turmerictiller/instances.thrift
@@ -5,7 +5,7 @@
 namespace py instances
 
 /** Raised with every change that an older instance would misread. */
-const i16 PROTOCOL_VERSION = 1
+const i16 PROTOCOL_VERSION = 2
 
 struct Instance {
   1: string id,
@@ -13,12 +13,17 @@
   3: i64 incarnation,
   /** Time since the instance was last heard, by anyone. */
   4: i32 age_ms,
+  5: optional string failure_domain,
 }
 
-struct Suspicion {
+/** Calls of a request that crashed servers, as one instance saw them. */
+struct CrashReport {
   1: i64 fingerprint,
-  /** Calls of the request that crashed a server, as the sender saw it. */
-  2: i32 crashes,
+  /** The incarnation of the instance that saw them. */
+  2: i64 origin,
+  3: i32 crashes,
+  /** Time since that instance last changed the number. */
+  4: i32 age_ms,
 }
 
 /** A document as it was published; without a value it was removed. */
@@ -49,7 +54,6 @@
   2: Instance sender,
   3: bool leaving,
   4: list<Instance> instances,
-  5: list<Suspicion> suspicions,
   6: i64 configuration_version,
   7: bool wants_documents,
   8: list<Document> documents,
@@ -57,4 +61,13 @@
   /** How many instances the sender counts, itself included. */
   10: optional i32 live_instances,
   11: optional list<ContestedServer> contested_servers,
+  /** Revision of the registry up to which the sender knows all changes. */
+  12: optional i64 revision,
+  /** Time since the registry had nothing newer for the sender. */
+  13: optional i32 read_age_ms,
+  /** Whether the sender wants the changes after its revision. */
+  14: optional bool follows,
+  /** The documents are all changes after this revision and up to that of the sender. */
+  15: optional i64 changes_since,
+  16: optional list<CrashReport> crash_reports,
 }
--- a/turmerictiller/platform/application.py
+++ b/turmerictiller/platform/application.py
@@ -11,6 +11,7 @@
 from turmerictiller.errors import ConfigError
 from turmerictiller.forwarding.events import SettingsChanged, ShutdownRequested
 from turmerictiller.forwarding.model import CallerLimits
+from turmerictiller.forwarding.readers import read_plan
 from turmerictiller.platform.http_dialect import DIALECT
 from turmerictiller.platform.registry import Registry
 from turmerictiller.platform.settings import read_settings
@@ -55,11 +56,12 @@
         self.registry = Registry(
             store,
             self.clock,
-            min(node.bounds.drain_ms, node.bounds.apply_ms),
+            node.bounds.registry_ms,
+            lambda: read_plan(self.shell.state, self.clock.now_ms()),
             self.shell.dispatch,
             self.shell.log.write,
         )
-        self.peers = PeerLink(self.shell, self.registry.documents, self.registry.on_peer_documents)
+        self.peers = PeerLink(self.shell, self.registry)
         self.shell.ask_peer = self.peers.ask
         self._operators = [self._operator_listener(), self._operator_listener()]
 
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -10,10 +10,12 @@
 from turmerictiller.forwarding.events import (
     ConfigurationSeen,
     RegistryLost,
+    RegistryRead,
     ServerEntryRemoved,
     ServerSeen,
     ServersListed,
 )
+from turmerictiller.forwarding.readers import ReadPlan
 from turmerictiller.platform.documents import DocumentError, read_configuration, read_server
 from turmerictiller.platform.store import HistoryGoneError, Item, StoreError
 from turmerictiller.transport.peer_messages import Document
@@ -43,24 +45,34 @@
 MAX_REMOVED = 256  # removed entries that are told to other instances
 # The store holds the operator's and the servers' keys and no others.
 EVERYTHING = ""
+# Where others hear what this instance reads, a watch that tells nothing ends soon, to show that there is
+# nothing newer, and servers that change together are told about once a second.
+READER_WATCH_MS = 1_500.0
+REST_MS = 250.0  # between two looks at whether what others tell is still recent
+# The store's answers take this long when it is slow, so what one says may be so much older.
+SLOW_ANSWER_MS = 300.0
 FIRST_RETRY_MS = 100.0
 LONGEST_RETRY_MS = 500.0  # entries must count again within two seconds of the store's return
 
 
 @dataclass
 class Registry:
-    """The watch of one instance.
+    """What one instance knows of the store, by its own watch or from other instances.
 
     :param bound_ms: time within which a change must take effect.
+    :param plan: returns how this instance is to learn what the store holds.
     :param log: writes a line; takes its name, its fields and whether it is among the last dropped.
     """
 
     store: Store
     clock: Clock
     bound_ms: Millis
+    plan: Callable[[], ReadPlan]
     dispatch: Callable[[Event], None]
     log: Callable[[str, dict[str, object], bool], None]
     items_by_key: dict[str, Item] = field(default_factory=dict)
+    revision: int = 0
+    complete_since: int | None = None
     _task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -73,6 +85,19 @@
             Document(item.key, item.revision, item.value) for item in self.items_by_key.values()
         ]
 
+    def changes_since(self, revision: int) -> list[Document] | None:
+        """Return what has changed after a revision; ``None`` if that is not known in full."""
+        if self.complete_since is None or revision < self.complete_since:
+            return None
+        return [document for document in self.documents() if document.revision > revision]
+
+    def on_peer_changes(
+        self, documents: Sequence[Document], revision: int, read_at: Millis
+    ) -> None:
+        """Take over all changes up to a revision, which was the newest at a time."""
+        self.on_peer_documents(documents)
+        self._advance(revision, read_at)
+
     def on_peer_documents(self, documents: Sequence[Document]) -> None:
         """Take over what another instance has read; newer revisions win."""
         entries: list[ServerEntry] = []
@@ -98,7 +123,14 @@
         self.items_by_key[item.key] = item
         removed = [key for key, kept in self.items_by_key.items() if kept.value is None]
         for key in removed[:-MAX_REMOVED]:
-            del self.items_by_key[key]
+            forgotten = self.items_by_key.pop(key)
+            if self.complete_since is not None:
+                self.complete_since = max(self.complete_since, forgotten.revision)
+
+    def _advance(self, revision: int, read_at: Millis) -> None:
+        """Note that all changes up to a revision are known, and when there were no others."""
+        self.revision = max(self.revision, revision)
+        self.dispatch(RegistryRead(self.clock.now_ms(), revision, read_at))
 
     def _on_removed(self, item: Item, from_peer: bool = False) -> None:
         server_id = item.key.removeprefix(SERVERS)
@@ -114,10 +146,10 @@
         retry_ms = FIRST_RETRY_MS
         while True:
             try:
-                revision, items = await self.store.read_all(EVERYTHING)
-                self._on_list(revision, items)
-                retry_ms = FIRST_RETRY_MS
-                await self._watch(revision)
+                if self.complete_since is None or self.plan() is not ReadPlan.RESTS:
+                    await self._list()
+                    retry_ms = FIRST_RETRY_MS
+                await self._watch()
             except HistoryGoneError:
                 self.log("history_gone", {}, True)
             except StoreError as error:
@@ -128,21 +160,35 @@
                 self.log("registry_fault", {"error": repr(error)[:300]}, True)
                 await self._pause("fault", LONGEST_RETRY_MS)
 
+    async def _list(self) -> None:
+        asked_at = self.clock.now_ms()
+        revision, items = await self.store.read_all(EVERYTHING)
+        self._on_list(revision, items)
+        self._advance(revision, asked_at)
+
     async def _pause(self, reason: str, retry_ms: Millis) -> None:
         self.dispatch(RegistryLost(self.clock.now_ms(), reason))
         await asyncio.sleep(random.uniform(0.5, 1.0) * retry_ms / 1000)
 
-    async def _watch(self, revision: int) -> None:
+    async def _watch(self) -> None:
         listed_at = self.clock.now_ms()
         longest_ms = LONGEST_GAP_SHARE * self.bound_ms
         # Servers that start together with this instance register one by one.
         gap_ms = longest_ms
         while (asked_at := self.clock.now_ms()) - listed_at < LIST_MS:
-            wait_ms = WATCH_SHARE * self.bound_ms
-            revision, items = await self.store.watch(EVERYTHING, revision, wait_ms)
+            plan = self.plan()
+            if plan is ReadPlan.RESTS:
+                # A list is due only where the store is read.
+                listed_at += REST_MS
+                await asyncio.sleep(REST_MS / 1000)
+                continue
+            wait_ms = WATCH_SHARE * self.bound_ms if plan is ReadPlan.ALONE else READER_WATCH_MS
+            revision, items = await self.store.watch(EVERYTHING, self.revision, wait_ms)
             for item in items:
                 self._on_change(item)
-            if self.clock.now_ms() - asked_at >= QUIET_WATCH_MS:
+            now = self.clock.now_ms()
+            self._advance(revision, max(asked_at, now - SLOW_ANSWER_MS))
+            if now - asked_at >= QUIET_WATCH_MS or plan is ReadPlan.READER:
                 gap_ms = GAP_SHARE * self.bound_ms
             if items:
                 await asyncio.sleep(gap_ms / 1000)
@@ -151,7 +197,7 @@
     def _on_list(self, revision: int, items: list[Item]) -> None:
         entries: list[ServerEntry] = []
         unreadable_ids: set[str] = set()
-        self.items_by_key = {item.key: item for item in items}
+        self._keep_list(revision, items)
         for item in items:
             if item.key == CONFIGURATION:
                 self._on_configuration(item)
@@ -164,6 +210,15 @@
         now = self.clock.now_ms()
         self.dispatch(ServersListed(now, revision, tuple(entries), frozenset(unreadable_ids)))
 
+    def _keep_list(self, revision: int, items: list[Item]) -> None:
+        """Keep all items, and note which of those known so far were removed."""
+        before, self.items_by_key = self.items_by_key, {item.key: item for item in items}
+        if self.complete_since is None:
+            self.complete_since = revision
+        for key, known in before.items():
+            if key not in self.items_by_key:
+                self._keep(known if known.value is None else Item(key, revision, None))
+
     def _on_change(self, item: Item) -> None:
         self._keep(item)
         if item.key == CONFIGURATION:
--- a/turmerictiller/platform/settings.py
+++ b/turmerictiller/platform/settings.py
@@ -46,6 +46,11 @@
     extra_window_s: Positive = field(name="budgetWindowS")
     extra_slack: NotNegative = field(name="budgetSlack")
 
+    @property
+    def registry_ms(self) -> float:
+        """Return the time within which a change of the store must take effect."""
+        return min(self.drain_ms, self.apply_ms)
+
 
 class Store(Struct, frozen=True):
     """Where the platform's metadata store listens."""
@@ -82,6 +87,7 @@
             extra_slack=self.bounds.extra_slack,
             extra_window_ms=self.bounds.extra_window_s * 1000,
             drain_ms=self.bounds.drain_ms,
+            registry_bound_ms=self.bounds.registry_ms,
             grace_ms=self.bounds.grace_s * 1000,
         )
 
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from turmerictiller.errors import FrameError
 from turmerictiller.forwarding.events import PeerHeard
@@ -13,11 +13,17 @@
 from turmerictiller.transport.http_client import ConnectionPool, Exchange
 from turmerictiller.transport.http_server import HttpListener
 from turmerictiller.transport.messages import write_response
-from turmerictiller.transport.peer_messages import read_exchange, write_exchange
+from turmerictiller.transport.peer_messages import (
+    NO_DOCUMENTS,
+    Documents,
+    read_exchange,
+    write_exchange,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
+    from turmerictiller.clock import Millis
     from turmerictiller.forwarding.effects import AskPeer
     from turmerictiller.forwarding.peer_model import Hello
     from turmerictiller.transport.http_server import ServerConnection
@@ -32,17 +38,33 @@
 MAX_BODY_BYTES = 4_194_304
 
 
+class DocumentLibrary(Protocol):
+    """Published documents, as an adapter keeps them."""
+
+    def documents(self) -> Sequence[Document]:
+        """Return all documents."""
+
+    def changes_since(self, revision: int) -> Sequence[Document] | None:
+        """Return what has changed after a revision; ``None`` if that is not known in full."""
+
+    def on_peer_documents(self, documents: Sequence[Document]) -> None:
+        """Take over documents of another instance."""
+
+    def on_peer_changes(
+        self, documents: Sequence[Document], revision: int, read_at: Millis
+    ) -> None:
+        """Take over all changes up to a revision, which was the newest at a time."""
+
+
 @dataclass
 class PeerLink:
     """The listener for other instances and the questions to them.
 
-    :param documents: what was published, for an instance that can not read it itself.
-    :param on_documents: called with the documents of another instance.
+    :param library: what was published, for instances that do not read it themselves.
     """
 
     shell: ForwardingShell
-    documents: Callable[[], Sequence[Document]]
-    on_documents: Callable[[Sequence[Document]], None]
+    library: DocumentLibrary
     pool: ConnectionPool = field(init=False)
     listener: HttpListener = field(init=False)
 
@@ -62,8 +84,12 @@
         body = write_exchange(effect.hello, self._owed(effect.hello))
         head = f"POST {TARGET.decode()} HTTP/1.1\r\nHost: {effect.address}\r\n"
         data = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+        asked_at = self.shell.now_ms()
         exchange = Exchange(
-            data, lambda response, must_name: True, self._on_answer, self._on_failure
+            data,
+            lambda response, must_name: True,
+            lambda response: self._on_answer(response, asked_at),
+            self._on_failure,
         )
         self.pool.send(effect.address, exchange)
         loop = asyncio.get_running_loop()
@@ -82,9 +108,9 @@
     def _on_failure(self, failure: object, may_have_run: bool) -> None:
         self.shell.counters["exchanges.failed"] += 1
 
-    def _on_answer(self, response: RawResponse) -> None:
+    def _on_answer(self, response: RawResponse, asked_at: Millis) -> None:
         if response.status == 200:
-            self._take(response.body)
+            self._take(response.body, asked_at)
 
     def _on_request(self, connection: ServerConnection, raw: RawRequest) -> None:
         # What is told of slow servers is shared in halves, so the answer is from before the question.
@@ -96,7 +122,7 @@
         body = write_exchange(answer, self._owed(hello))
         connection.answer(write_response(200, b"OK", [], body, False), False)
 
-    def _take(self, body: bytes) -> Hello | None:
+    def _take(self, body: bytes, asked_at: Millis | None = None) -> Hello | None:
         try:
             hello, documents = read_exchange(body)
         except FrameError as error:
@@ -104,14 +130,24 @@
             self.shell.log.write("exchange_malformed", {"error": str(error)[:200]})
             return None
         self.shell.dispatch(PeerHeard(self.shell.now_ms(), hello))
-        if documents:
-            self.on_documents(documents)
+        if asked_at is not None and documents.since is not None:
+            # The answer was written after the question, so what it tells is no older than this.
+            read_at = asked_at - hello.read_age_ms
+            self.library.on_peer_changes(documents.items, hello.revision, read_at)
+        elif documents.items:
+            self.library.on_peer_documents(documents.items)
         return hello
 
-    def _owed(self, hello: Hello) -> Sequence[Document]:
+    def _owed(self, hello: Hello) -> Documents:
         """Return the documents that another instance lacks; none if ``hello`` is this one's."""
         state = self.shell.state
         if hello.sender.id == state.settings.instance_id or state.configuration is None:
-            return ()
+            return NO_DOCUMENTS
+        if hello.follows and hello.revision <= state.registry_revision:
+            changes = self.library.changes_since(hello.revision)
+            if changes is not None:
+                return Documents(changes, hello.revision)
         is_older = hello.version < state.configuration.version
-        return self.documents() if is_older or hello.wants_documents else ()
+        if is_older or hello.wants_documents:
+            return Documents(self.library.documents())
+        return NO_DOCUMENTS
--- a/turmerictiller/transport/peer_messages.py
+++ b/turmerictiller/transport/peer_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -10,7 +11,13 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from turmerictiller.errors import FrameError
-from turmerictiller.forwarding.peer_model import ContestedServer, Hello, PeerEntry, SlowServer
+from turmerictiller.forwarding.peer_model import (
+    ContestedServer,
+    CrashReport,
+    Hello,
+    PeerEntry,
+    SlowServer,
+)
 from turmerictiller.forwarding.peers import MAX_PEERS
 from turmerictiller.util.wire_checks import MAX_LIST_LENGTH, finite, integer, ip_address, text
 from turmerictiller.wire.instances import constants, ttypes
@@ -36,22 +43,33 @@
     value: bytes | None
 
 
-def write_exchange(hello: Hello, documents: Sequence[Document]) -> bytes:
+@dataclass(frozen=True, slots=True)
+class Documents:
+    """Documents of the registry.
+
+    :param since: they are all changes after this revision and up to that of the sender; ``None`` if
+        they are some documents as the sender knows them.
+    """
+
+    items: Sequence[Document] = ()
+    since: int | None = None
+
+
+NO_DOCUMENTS = Documents()
+
+
+def write_exchange(hello: Hello, documents: Documents = NO_DOCUMENTS) -> bytes:
     """Return the bytes of a question or an answer."""
     message = ttypes.Exchange(
         protocol=constants.PROTOCOL_VERSION,
         sender=_instance(hello.sender),
         leaving=hello.leaving,
         instances=[_instance(entry) for entry in hello.entries],
-        suspicions=[
-            ttypes.Suspicion(fingerprint=number, crashes=min(crashes, MAX_SMALL))
-            for number, crashes in hello.crashes_by_fingerprint.items()
-        ],
         configuration_version=hello.version,
         wants_documents=hello.wants_documents,
         documents=[
             ttypes.Document(key=item.key, revision=item.revision, value=item.value)
-            for item in documents
+            for item in documents.items
         ],
         slow_servers=[
             ttypes.SlowServer(server_id=item.server_id, weight=item.weight, slowness=item.slowness)
@@ -62,13 +80,26 @@
             ttypes.ContestedServer(server_id=item.server_id, age_ms=_small(item.age_ms))
             for item in hello.contested_servers
         ],
+        crash_reports=[
+            ttypes.CrashReport(
+                fingerprint=item.fingerprint,
+                origin=item.origin,
+                crashes=min(item.crashes, MAX_SMALL),
+                age_ms=_small(item.age_ms),
+            )
+            for item in hello.crash_reports
+        ],
+        revision=hello.revision,
+        read_age_ms=_small(hello.read_age_ms),
+        follows=hello.follows,
+        changes_since=documents.since,
     )
     buffer = TMemoryBuffer()
     message.write(TBinaryProtocolAccelerated(buffer))
     return bytes(buffer.getvalue())
 
 
-def read_exchange(data: bytes) -> tuple[Hello, list[Document]]:
+def read_exchange(data: bytes) -> tuple[Hello, Documents]:
     """Read a question or an answer.
 
     :raises FrameError: if it is malformed or of another version of the protocol.
@@ -81,15 +112,10 @@
     if message.protocol != constants.PROTOCOL_VERSION:
         raise FrameError(f"protocol {message.protocol!r} is not spoken here")
     entries = [_entry(item) for item in _items(message.instances, MAX_LIST_LENGTH)]
-    crashes = {
-        integer(item.fingerprint, "fingerprint"): integer(item.crashes, "crashes")
-        for item in _items(message.suspicions, MAX_LIST_LENGTH)
-    }
     hello = Hello(
         _entry(message.sender),
         bool(message.leaving),
         tuple(entries),
-        crashes,
         integer(message.configuration_version, "configuration_version"),
         bool(message.wants_documents),
         tuple(_slow_server(item) for item in _items(message.slow_servers or [], MAX_LIST_LENGTH)),
@@ -97,8 +123,14 @@
         tuple(
             _contested(item) for item in _items(message.contested_servers or [], MAX_LIST_LENGTH)
         ),
+        tuple(_crash_report(item) for item in _items(message.crash_reports or [], MAX_LIST_LENGTH)),
+        integer(message.revision or 0, "revision"),
+        _age(message.read_age_ms),
+        bool(message.follows),
     )
-    return hello, [_document(item) for item in _items(message.documents, MAX_DOCUMENTS)]
+    documents = [_document(item) for item in _items(message.documents, MAX_DOCUMENTS)]
+    since = message.changes_since
+    return hello, Documents(documents, None if since is None else integer(since, "changes_since"))
 
 
 def _instance(entry: PeerEntry) -> Any:
@@ -107,11 +139,19 @@
         address=entry.address,
         incarnation=entry.incarnation,
         age_ms=_small(entry.age_ms),
+        failure_domain=entry.domain,
     )
 
 
 def _small(value: float) -> int:
-    return min(int(value), MAX_SMALL)
+    return int(min(value, MAX_SMALL))
+
+
+def _age(value: Any) -> float:
+    """Read an age; the largest stands for one that is not known."""
+    if value is None or value == MAX_SMALL:
+        return math.inf
+    return float(integer(value, "age"))
 
 
 def _entry(item: Any) -> PeerEntry:
@@ -122,6 +162,7 @@
         ip_address(item.address, "address"),
         integer(item.incarnation, "incarnation"),
         float(integer(item.age_ms, "age_ms")),
+        text(item.failure_domain or "", "failure_domain", MAX_ID_CHARS),
     )
 
 
@@ -139,6 +180,15 @@
     )
 
 
+def _crash_report(item: Any) -> CrashReport:
+    return CrashReport(
+        integer(item.fingerprint, "fingerprint"),
+        integer(item.origin, "origin"),
+        integer(item.crashes, "crashes"),
+        float(integer(item.age_ms, "age_ms")),
+    )
+
+
 def _document(item: Any) -> Document:
     value = item.value
     if value is not None and not isinstance(value, bytes):
--- a/turmerictiller/wire/instances/constants.py
+++ b/turmerictiller/wire/instances/constants.py
@@ -12,4 +12,4 @@
 
 import sys
 from .ttypes import *
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
--- a/turmerictiller/wire/instances/ttypes.py
+++ b/turmerictiller/wire/instances/ttypes.py
@@ -23,6 +23,7 @@
      - address
      - incarnation
      - age_ms: Time since the instance was last heard, by anyone.
+     - failure_domain
 
     """
 
@@ -31,14 +32,16 @@
         'address',
         'incarnation',
         'age_ms',
+        'failure_domain',
     )
 
 
-    def __init__(self, id=None, address=None, incarnation=None, age_ms=None,):
+    def __init__(self, id=None, address=None, incarnation=None, age_ms=None, failure_domain=None,):
         self.id = id
         self.address = address
         self.incarnation = incarnation
         self.age_ms = age_ms
+        self.failure_domain = failure_domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -69,6 +72,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -95,6 +103,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 4)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 5)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -120,23 +132,31 @@
         return not (self == other)
 
 
-class Suspicion(object):
+class CrashReport(object):
     """
+    Calls of a request that crashed servers, as one instance saw them.
+
     Attributes:
      - fingerprint
-     - crashes: Calls of the request that crashed a server, as the sender saw it.
+     - origin: The incarnation of the instance that saw them.
+     - crashes
+     - age_ms: Time since that instance last changed the number.
 
     """
 
     __slots__ = (
         'fingerprint',
+        'origin',
         'crashes',
+        'age_ms',
     )
 
 
-    def __init__(self, fingerprint=None, crashes=None,):
+    def __init__(self, fingerprint=None, origin=None, crashes=None, age_ms=None,):
         self.fingerprint = fingerprint
+        self.origin = origin
         self.crashes = crashes
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -153,10 +173,20 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.I64:
+                    self.origin = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.crashes = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -166,15 +196,23 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Suspicion')
+        oprot.writeStructBegin('CrashReport')
         if self.fingerprint is not None:
             oprot.writeFieldBegin('fingerprint', TType.I64, 1)
             oprot.writeI64(self.fingerprint)
             oprot.writeFieldEnd()
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.I64, 2)
+            oprot.writeI64(self.origin)
+            oprot.writeFieldEnd()
         if self.crashes is not None:
-            oprot.writeFieldBegin('crashes', TType.I32, 2)
+            oprot.writeFieldBegin('crashes', TType.I32, 3)
             oprot.writeI32(self.crashes)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -479,13 +517,17 @@
      - sender
      - leaving
      - instances
-     - suspicions
      - configuration_version
      - wants_documents
      - documents
      - slow_servers
      - live_instances: How many instances the sender counts, itself included.
      - contested_servers
+     - revision: Revision of the registry up to which the sender knows all changes.
+     - read_age_ms: Time since the registry had nothing newer for the sender.
+     - follows: Whether the sender wants the changes after its revision.
+     - changes_since: The documents are all changes after this revision and up to that of the sender.
+     - crash_reports
 
     """
 
@@ -494,28 +536,36 @@
         'sender',
         'leaving',
         'instances',
-        'suspicions',
         'configuration_version',
         'wants_documents',
         'documents',
         'slow_servers',
         'live_instances',
         'contested_servers',
+        'revision',
+        'read_age_ms',
+        'follows',
+        'changes_since',
+        'crash_reports',
     )
 
 
-    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, suspicions=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None, contested_servers=None,):
+    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None, contested_servers=None, revision=None, read_age_ms=None, follows=None, changes_since=None, crash_reports=None,):
         self.protocol = protocol
         self.sender = sender
         self.leaving = leaving
         self.instances = instances
-        self.suspicions = suspicions
         self.configuration_version = configuration_version
         self.wants_documents = wants_documents
         self.documents = documents
         self.slow_servers = slow_servers
         self.live_instances = live_instances
         self.contested_servers = contested_servers
+        self.revision = revision
+        self.read_age_ms = read_age_ms
+        self.follows = follows
+        self.changes_since = changes_since
+        self.crash_reports = crash_reports
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -553,17 +603,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.LIST:
-                    self.suspicions = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = Suspicion()
-                        _elem11.read(iprot)
-                        self.suspicions.append(_elem11)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.I64:
                     self.configuration_version = iprot.readI64()
@@ -577,22 +616,22 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = Document()
-                        _elem17.read(iprot)
-                        self.documents.append(_elem17)
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = Document()
+                        _elem11.read(iprot)
+                        self.documents.append(_elem11)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.slow_servers = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = SlowServer()
-                        _elem23.read(iprot)
-                        self.slow_servers.append(_elem23)
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = SlowServer()
+                        _elem17.read(iprot)
+                        self.slow_servers.append(_elem17)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -604,11 +643,42 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.contested_servers = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = ContestedServer()
+                        _elem23.read(iprot)
+                        self.contested_servers.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.read_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.follows = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.changes_since = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.crash_reports = []
                     (_etype27, _size24) = iprot.readListBegin()
                     for _i28 in range(_size24):
-                        _elem29 = ContestedServer()
+                        _elem29 = CrashReport()
                         _elem29.read(iprot)
-                        self.contested_servers.append(_elem29)
+                        self.crash_reports.append(_elem29)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -641,13 +711,6 @@
                 iter30.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.suspicions is not None:
-            oprot.writeFieldBegin('suspicions', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter31 in self.suspicions:
-                iter31.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         if self.configuration_version is not None:
             oprot.writeFieldBegin('configuration_version', TType.I64, 6)
             oprot.writeI64(self.configuration_version)
@@ -659,15 +722,15 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter32 in self.documents:
-                iter32.write(oprot)
+            for iter31 in self.documents:
+                iter31.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slow_servers is not None:
             oprot.writeFieldBegin('slow_servers', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.slow_servers))
-            for iter33 in self.slow_servers:
-                iter33.write(oprot)
+            for iter32 in self.slow_servers:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.live_instances is not None:
@@ -677,7 +740,30 @@
         if self.contested_servers is not None:
             oprot.writeFieldBegin('contested_servers', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.contested_servers))
-            for iter34 in self.contested_servers:
+            for iter33 in self.contested_servers:
+                iter33.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 12)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.read_age_ms is not None:
+            oprot.writeFieldBegin('read_age_ms', TType.I32, 13)
+            oprot.writeI32(self.read_age_ms)
+            oprot.writeFieldEnd()
+        if self.follows is not None:
+            oprot.writeFieldBegin('follows', TType.BOOL, 14)
+            oprot.writeBool(self.follows)
+            oprot.writeFieldEnd()
+        if self.changes_since is not None:
+            oprot.writeFieldBegin('changes_since', TType.I64, 15)
+            oprot.writeI64(self.changes_since)
+            oprot.writeFieldEnd()
+        if self.crash_reports is not None:
+            oprot.writeFieldBegin('crash_reports', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.crash_reports))
+            for iter34 in self.crash_reports:
                 iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -711,12 +797,15 @@
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 5
 )
-all_structs.append(Suspicion)
-Suspicion.thrift_spec = (
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'fingerprint', None, None, ),  # 1
-    (2, TType.I32, 'crashes', None, None, ),  # 2
+    (2, TType.I64, 'origin', None, None, ),  # 2
+    (3, TType.I32, 'crashes', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
 )
 all_structs.append(Document)
 Document.thrift_spec = (
@@ -745,13 +834,18 @@
     (2, TType.STRUCT, 'sender', [Instance, None], None, ),  # 2
     (3, TType.BOOL, 'leaving', None, None, ),  # 3
     (4, TType.LIST, 'instances', (TType.STRUCT, [Instance, None], False), None, ),  # 4
-    (5, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 5
+    None,  # 5
     (6, TType.I64, 'configuration_version', None, None, ),  # 6
     (7, TType.BOOL, 'wants_documents', None, None, ),  # 7
     (8, TType.LIST, 'documents', (TType.STRUCT, [Document, None], False), None, ),  # 8
     (9, TType.LIST, 'slow_servers', (TType.STRUCT, [SlowServer, None], False), None, ),  # 9
     (10, TType.I32, 'live_instances', None, None, ),  # 10
     (11, TType.LIST, 'contested_servers', (TType.STRUCT, [ContestedServer, None], False), None, ),  # 11
+    (12, TType.I64, 'revision', None, None, ),  # 12
+    (13, TType.I32, 'read_age_ms', None, None, ),  # 13
+    (14, TType.BOOL, 'follows', None, None, ),  # 14
+    (15, TType.I64, 'changes_since', None, None, ),  # 15
+    (16, TType.LIST, 'crash_reports', (TType.STRUCT, [CrashReport, None], False), None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
