--- a/tests/core/servers/test_silence.py
+++ b/tests/core/servers/test_silence.py
@@ -84,6 +84,46 @@
     assert len(harness.take(effects.ResetConnections)) == 1
 
 
+def given_up(harness: Harness, call_ids: range) -> None:
+    """Let calls be given up one after the other, and the poll that follows be answered."""
+    for call_id in call_ids:
+        (attempt,) = harness.search(call_id, deadline_ms=40.0)
+        harness.advance(40)
+    status = events.UpstreamStatus("i", False, (attempt.snapshot,))
+    harness.send(events.HealthReported(harness.at, attempt.server_id, status))
+
+
+def test_connections_that_go_silent_right_after_a_reset_are_replaced_as_soon() -> None:
+    """Guards against searches that stay incomplete for a second because of an earlier reset."""
+    harness = one_server()
+    for call_id in range(1, 8):
+        (attempt,) = harness.search(call_id)
+        harness.answer(attempt)
+        harness.advance(1)
+    given_up(harness, range(8, 11))
+    assert len(harness.take(effects.ResetConnections)) == 1
+    harness.advance(100)
+    given_up(harness, range(11, 14))
+    assert len(harness.take(effects.ResetConnections)) == 1
+
+
+def test_calls_from_before_a_reset_cause_no_other() -> None:
+    """Guards against resets in a row because of calls on connections that are replaced already."""
+    harness = one_server()
+    for call_id in range(1, 8):
+        (attempt,) = harness.search(call_id)
+        harness.answer(attempt)
+        harness.advance(1)
+    for call_id in range(20, 24):
+        harness.search(call_id, deadline_ms=130.0)
+    given_up(harness, range(8, 11))
+    assert len(harness.take(effects.ResetConnections)) == 1
+    harness.advance(20)
+    status = events.UpstreamStatus("i", False, (attempt.snapshot,))
+    harness.send(events.HealthReported(harness.at, attempt.server_id, status))
+    assert harness.take(effects.ResetConnections) == []
+
+
 def test_reset_replaces_idle_connections_and_lets_calls_finish() -> None:
     """Guards against a reset that cuts off the calls that still run."""
     connections: set[object] = set()
--- a/turmerictiller/core/servers/attempts.py
+++ b/turmerictiller/core/servers/attempts.py
@@ -144,6 +144,7 @@
     if attempt.spans_pause:
         return
     observe_latency(state, server, state.now - attempt.sent_at)
+    server.answered_slow_ms = server.slow_ms
     server.last_answered_sent_at = max(server.last_answered_sent_at, attempt.sent_at)
 
 
--- a/turmerictiller/core/servers/silence.py
+++ b/turmerictiller/core/servers/silence.py
@@ -38,7 +38,11 @@
 
     A search may stop waiting for a call long before the call counts as silent.
     """
-    if state.now - attempt.sent_at < GIVEN_UP_FACTOR * server.slow_ms:
+    # Calls that are given up raise the average, so that the next ones would not count.
+    if state.now - attempt.sent_at < GIVEN_UP_FACTOR * server.answered_slow_ms:
+        return
+    if attempt.sent_at < server.reset_at:
+        # Its connection has been replaced meanwhile.
         return
     server.given_up_in_row += 1
     if server.given_up_in_row == GIVEN_UP_LIMIT:
@@ -52,7 +56,8 @@
     """
     if server.given_up_in_row >= GIVEN_UP_LIMIT:
         server.given_up_in_row = 0
-        _reset(state, server)
+        # These calls were sent after the last reset, so it did not replace their connections.
+        _replace(state, server)
         return
     for attempt_id in server.attempt_ids:
         attempt = state.attempts_by_id.get(attempt_id)
@@ -67,7 +72,10 @@
 
 
 def _reset(state: State, server: ServerState) -> None:
-    if state.now - server.reset_at < RESET_INTERVAL_MS:
-        return
+    if state.now - server.reset_at >= RESET_INTERVAL_MS:
+        _replace(state, server)
+
+
+def _replace(state: State, server: ServerState) -> None:
     server.reset_at = state.now
     state.out.append(ResetConnections(server.id, server.address))
--- a/turmerictiller/core/state.py
+++ b/turmerictiller/core/state.py
@@ -120,6 +120,7 @@
 
     :param fast_ms: moving average of latency that follows changes within a few calls.
     :param slow_ms: moving average of latency over many calls.
+    :param answered_slow_ms: that average when the server last answered.
     :param attempt_ids: time of sending by outstanding attempt, oldest first.
     :param ejected: whether it gets only probes, the next one at ``ejected_until``.
     :param started_at: when another incarnation of the server was first seen.
@@ -141,6 +142,7 @@
     attempt_ids: dict[int, float] = field(default_factory=dict)
     fast_ms: float = 0.0
     slow_ms: float = 0.0
+    answered_slow_ms: float = 0.0
     samples: int = 0
     failures_in_row: int = 0
     ejected: bool = False
