--- a/tests/forwarding/test_readers.py
+++ b/tests/forwarding/test_readers.py
@@ -105,6 +105,16 @@
                 assert driver.now - driver.state.registry_read_at <= BOUND_MS
 
 
+def test_log_tells_how_an_instance_reads_and_what_decided_it() -> None:
+    """Guards against old knowledge that no line explains, and against a line each second."""
+    fleet = Fleet(90)
+    fleet.run(20)
+    plans = [line.fields["plan"] for line in fleet.drivers[0].logged("registry_plan")]
+    assert plans[0] == "alone"
+    assert plans[-1] == plan(fleet.drivers[0]).value
+    assert len(plans) <= 8
+
+
 def test_knowledge_is_as_old_as_the_read_that_it_comes_from() -> None:
     """Guards against knowledge that instances tell each other for ever as if it were new."""
     fleet = Fleet(90)
--- a/turmerictiller/forwarding/peers.py
+++ b/turmerictiller/forwarding/peers.py
@@ -19,6 +19,7 @@
 from turmerictiller.forwarding.readers import (
     ReadPlan,
     is_reader,
+    log_read_plan,
     other_reader_addresses,
     read_plan,
     reader_addresses,
@@ -59,6 +60,7 @@
     """Ask one other instance."""
     state.timers.add(state.now + EXCHANGE_MS, TimerKind.EXCHANGE)
     _forget_silent(state)
+    log_read_plan(state)
     addresses = _addresses_to_ask(state)
     if addresses:
         state.out.append(AskPeer(state.rng.choice(addresses), own_hello(state)))
--- a/turmerictiller/forwarding/readers.py
+++ b/turmerictiller/forwarding/readers.py
@@ -17,6 +17,8 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
+from turmerictiller.forwarding.effects import LogDecision
+
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
     from turmerictiller.forwarding.events import RegistryRead
@@ -74,6 +76,22 @@
     return [address for domain in domains for address in reader_addresses(state, domain)]
 
 
+def log_read_plan(state: State) -> None:
+    """Log how this instance reads the registry, if that has changed."""
+    plan = read_plan(state, state.now).value
+    if plan == state.read_plan_told:
+        return
+    state.read_plan_told = plan
+    fields = {
+        "plan": plan,
+        "is_reader": is_reader(state),
+        "instances": len(state.peers_by_id) + 1,
+        "revision": state.registry_revision,
+        "read_age_ms": round(min(state.now - state.registry_read_at, state.now)),
+    }
+    state.out.append(LogDecision("registry_plan", fields, urgent=True))
+
+
 def on_registry_read(state: State, event: RegistryRead) -> None:
     """Note up to when the registry's content is known."""
     if event.revision >= state.registry_revision:
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -223,6 +223,7 @@
         servers, by the incarnation of the instance that saw it.
     :param registry_revision: revision of the registry up to which all changes are known.
     :param registry_read_at: when the registry had nothing newer than that.
+    :param read_plan_told: how this instance reads the registry, as the log was last told.
     :param is_cut_off: servers of other failure domains can not be reached from here, and without
         them some route can not be served.
     """
@@ -249,6 +250,7 @@
     crash_counts_by_fingerprint: dict[int, dict[int, CrashCount]] = field(default_factory=dict)
     registry_revision: int = 0
     registry_read_at: Millis = float("-inf")
+    read_plan_told: str = ""
     news_due_at: Millis = float("-inf")
     services_by_name: dict[str, ServiceState] = field(default_factory=dict)
     servers_by_id: dict[str, ServerState] = field(default_factory=dict)
