Keep what other instances tell when it overtakes a read of the store

Cause: found while reading the change again. An instance may hear of revision 12 from another one while its own read, sent before, is on its way. The answer to that read put older items back into what it tells others under revision 12, so those would miss a removal. Its own decisions compare revisions and were not affected.

Change: items are only replaced by newer ones, from watches and lists as well; a list removes nothing that is newer than the list.

Both cases of the new test fail without the change.

--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import pytest
+
 from turmerictiller.clock import Clock, Millis
 from turmerictiller.forwarding.events import (
     Event,
@@ -190,3 +192,26 @@
         assert "servers/s3" in registry.items_by_key
 
     follow(play, lambda: plan)
+
+
+@pytest.mark.parametrize("read", ["watch", "list"])
+def test_read_that_was_overtaken_by_another_instance_takes_nothing_back(read: str) -> None:
+    """Guards against an instance that tells others less than the revision that it names."""
+    clock = Clock()
+    registry = Registry(
+        ScriptedStore(clock),
+        clock,
+        300.0,
+        lambda: ReadPlan.READER,
+        lambda event: None,
+        lambda event, fields, urgent: None,
+    )
+    registry._on_list(6, [Item("servers/s1", 6, ENTRY)])
+    removed, added = Document("servers/s1", 11, None), Document("servers/s9", 12, ENTRY)
+    registry.on_peer_changes([removed, added], 12, 0.0)
+    # The answer to a read that was sent before.
+    if read == "watch":
+        registry._on_change(Item("servers/s1", 8, ENTRY))
+    else:
+        registry._on_list(8, [Item("servers/s1", 8, ENTRY)])
+    assert registry.changes_since(6) == [removed, added]
--- a/turmerictiller/forwarding/peers.py
+++ b/turmerictiller/forwarding/peers.py
@@ -44,9 +44,7 @@
 MAX_PEERS = 2_000
 SEED_SHARE = 0.1  # of the questions go to addresses from the settings, so that partitions heal
 READER_SHARE = 0.7  # of the questions go to readers of the registry, where few instances read it
-NEWS_FANOUT = (
-    3  # three questions by each instance reach 94% of a fleet, the next exchanges the rest
-)
+NEWS_FANOUT = 3  # three questions by each reach 94% of a fleet, the next exchanges the rest
 
 
 def start_exchanges(state: State) -> None:
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -103,8 +103,7 @@
         entries: list[ServerEntry] = []
         for document in documents:
             item = Item(document.key, document.revision, document.value)
-            known = self.items_by_key.get(item.key)
-            if known is not None and known.revision >= item.revision:
+            if not self._is_news(item):
                 continue
             self._keep(item)
             if item.key == CONFIGURATION:
@@ -118,6 +117,14 @@
             now = self.clock.now_ms()
             self.dispatch(ServersListed(now, 0, tuple(entries), from_peer=True))
 
+    def _is_news(self, item: Item) -> bool:
+        """Return whether an item is newer than what is known of its key.
+
+        What another instance tells may overtake the answer to a read of this one.
+        """
+        known = self.items_by_key.get(item.key)
+        return known is None or known.revision < item.revision
+
     def _keep(self, item: Item) -> None:
         """Keep an item for other instances, and removed ones as long as there is room."""
         self.items_by_key[item.key] = item
@@ -216,10 +223,15 @@
         if self.complete_since is None:
             self.complete_since = revision
         for key, known in before.items():
-            if key not in self.items_by_key:
+            listed = self.items_by_key.get(key)
+            if known.revision > (listed.revision if listed is not None else revision):
+                self._keep(known)
+            elif listed is None:
                 self._keep(known if known.value is None else Item(key, revision, None))
 
     def _on_change(self, item: Item) -> None:
+        if not self._is_news(item):
+            return
         self._keep(item)
         if item.key == CONFIGURATION:
             self._on_configuration(item)
