--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -222,6 +222,20 @@
         return
 
 
+def test_ages_that_lie_in_the_future_are_refused() -> None:
+    """Guards against knowledge that never gets old because one instance tells a negative age."""
+    hello = own_hello(instance(1).state)
+    sender = hello.sender
+    for wrong in (
+        replace(hello, read_age_ms=-1.0),
+        replace(hello, sender=replace(sender, age_ms=-1.0)),
+        replace(hello, contested_servers=(ContestedServer("a-1", -1.0),)),
+        replace(hello, crash_reports=(CrashReport(1, 2, 3, -1.0),)),
+    ):
+        with pytest.raises(FrameError):
+            read_exchange(write_exchange(wrong))
+
+
 def test_other_protocol_version_is_refused() -> None:
     """Guards against instances of different versions that misread each other."""
     whole = bytearray(write_exchange(own_hello(instance(1).state)))
