Never say that a request has not run after a reset that was not counted as a run

Cause: found while reading the change again. A reset of a new connection within 5 ms is not counted among the runs of a request that may repeat, so that it can go to another server. When no server was left, the request was refused as not run, though a server may have run it and crashed at once.

Change: whether a part may have run is told apart from the count of its runs; the refusal and the log go by that.

Ruled out: requests that must not run twice; their resets always count unless nothing was sent.

Figures: the new test fails without the change (503, not run) and passes with it (502).

--- a/tests/forwarding/test_contention.py
+++ b/tests/forwarding/test_contention.py
@@ -69,6 +69,15 @@
     assert refusal_of(driver, call_id) == (RefusalType.NO_SERVER, Ran.NO)
 
 
+def test_refusal_after_a_reset_that_did_not_count_does_not_claim_that_nothing_ran() -> None:
+    """Guards against "not run" for a request that a server ran and crashed on within milliseconds."""
+    driver = running(idempotent=True, servers=1)
+    call_id = driver.request("/one/x")
+    turn_away(driver, driver.sent(call_id)[0], may_have_run=True)
+    assert refusal_of(driver, call_id) == (RefusalType.UPSTREAM_FAILED, Ran.MAYBE)
+    assert driver.logged("attempt_lost")[-1].fields["may_have_run"]
+
+
 def test_idle_connections_to_a_contested_server_are_given_back_by_all() -> None:
     """Guards against an instance that never gets a connection because idle ones are kept."""
     drivers = [instance(number) for number in range(1, 7)]
--- a/turmerictiller/forwarding/answers.py
+++ b/turmerictiller/forwarding/answers.py
@@ -178,7 +178,7 @@
         "server": attempt.server_id,
         "reason": reason,
         "sent_again": sent,
-        "may_have_run": bool(part.runs),
+        "may_have_run": part.may_have_run,
     }
     state.out.append(LogDecision("attempt_lost", fields))
     if sent or part.attempt_ids:
--- a/turmerictiller/forwarding/endings.py
+++ b/turmerictiller/forwarding/endings.py
@@ -136,7 +136,7 @@
 
 def _failure_of(state: State, request: Request) -> Refusal:
     """Return the refusal of a request whose parts failed, saying truly whether it may have run."""
-    if not any(part.runs for part in request.parts):
+    if not any(part.may_have_run for part in request.parts):
         return no_server(_retry_after_ms(state, request))
     message = "servers failed while they may have run the request"
     return Refusal(RefusalType.UPSTREAM_FAILED, message, Ran.MAYBE)
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -149,6 +149,11 @@
     failed: str = ""
     is_waiting: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run it, attempts included that did not count as runs."""
+        return bool(self.runs or self.not_accepted)
+
 
 @dataclass(slots=True)
 class Request:
