Let the soak's seed for announcements have few excuses

Change: nine of ten faults are servers that ask for time or leave. A doc comment that promised more than the fault does is corrected.

Ruled out: nothing else.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -132,7 +132,7 @@
 
 
 async def leave_server(run: Deployment) -> None:
-    """Let a server say in its answers that it leaves, at times also in its entry, and start anew."""
+    """Let a server say that it leaves in its answers only, and start it anew later."""
     server_id = run.rng.choice(list(run.servers))
     if server_id in run.leaving_ids:
         return
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,8 +13,6 @@
     ask_for_time,
     kill_instance,
     leave_server,
-    pause_instance,
-    pause_server,
 )
 from soak.run import soak
 
@@ -24,7 +22,8 @@
     from soak.run import Fault
 
 SECONDS = 6.0
-ANNOUNCING = (ask_for_time, leave_server, kill_instance, pause_instance, pause_server)
+# Frozen and killed processes excuse what would be a fault, so there are few of them.
+ANNOUNCING = (*(ask_for_time,) * 5, *(leave_server,) * 4, kill_instance)
 # Seeds 1 to 3 stand for a run in CI. The others failed once:
 # 300: two faults started one instance at the same time, a fault of the soak;
 # 306: an instance that had just started used a server that had been draining for four seconds.
