Let an answer at any instance disprove crashes that others have counted

What callers would see: servers crash together while equal requests of many callers run on them, and all instances refuse these requests for two minutes.

Cause: an answer took back only what its own instance had counted. Nine instances count one crash each, the sum is over the limit everywhere, and a request that is refused is never answered again.

Change: an answer counts against all crashes before it, whoever saw them, and is told at once. Those that were sent before the refusals began are answered within their usual time.

Ruled out: longer evidence or a higher limit, which also let requests through that do crash servers.

Figures, virtual time, nine instances, 60 equal requests a second, five of eleven servers crash together: refusals went on from then to the end before; fewer than ten in the first second now, none after. The test failed before. The tests of requests that do crash servers pass as before.

--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -22,7 +22,9 @@
 from turmerictiller.forwarding.effects import (
     AbortAttempt,
     AskPeer,
+    LogDecision,
     ProbeConnection,
+    Refuse,
     SendAttempt,
 )
 from turmerictiller.forwarding.events import (
@@ -56,6 +58,8 @@
 
     :param down_until: when a server that crashed accepts connections again.
     :param crashed_at: times at which servers crashed.
+    :param refused_at: times at which callers were refused.
+    :param suspected: number of times that an instance suspected a request.
     :param received_at: times at which the crashing request reached a running server.
     """
 
@@ -67,6 +71,8 @@
     down_until: dict[str, float] = field(default_factory=dict)
     crashed_at: list[float] = field(default_factory=list)
     received_at: list[float] = field(default_factory=list)
+    refused_at: list[float] = field(default_factory=list)
+    suspected: int = 0
     crashing_calls: set[tuple[int, int]] = field(default_factory=set)
     work: dict[str, dict[tuple[int, int], None]] = field(default_factory=dict)
     _due: list[tuple[float, int, Callable[[float], None]]] = field(default_factory=list)
@@ -80,16 +86,26 @@
         for index in range(self.instances):
             self._tick(index)
 
-    def run(self, seconds: float, per_second: float, route: Route, crash_every_ms: float) -> None:
-        """Let requests arrive at random instances, and the crashing one again and again."""
+    def run(
+        self,
+        seconds: float,
+        per_second: float,
+        route: Route,
+        crash_every_ms: float,
+        fingerprint: int = 0,
+    ) -> None:
+        """Let requests arrive at random instances, and the crashing one again and again.
+
+        :param fingerprint: that of all other requests; 0 if each has its own.
+        """
         start = self.drivers[0].now
         end = start + seconds * 1_000
         at = start
         while (at := at + self.rng.expovariate(per_second / 1_000)) < end:
-            self._at(at, lambda now: self._arrive(now, route, 0))
+            self.at(at, lambda now: self._arrive(now, route, fingerprint))
         at = start + 2_000
         while at < end:
-            self._at(at, lambda now: self._arrive(now, route, CRASHING))
+            self.at(at, lambda now: self._arrive(now, route, CRASHING))
             at += crash_every_ms
         while self._due and self._due[0][0] <= end:
             at, _, action = heapq.heappop(self._due)
@@ -102,7 +118,8 @@
         known_at = sorted(self.crashed_at)[2] + CONTACT_MS
         return sum(at > known_at for at in self.received_at)
 
-    def _at(self, at: float, action: Callable[[float], None]) -> None:
+    def at(self, at: float, action: Callable[[float], None]) -> None:
+        """Do something at a time."""
         self._number += 1
         heapq.heappush(self._due, (at, self._number, action))
 
@@ -111,7 +128,7 @@
         driver = self.drivers[index]
         driver.now = now
         before = len(driver.effects)
-        if fingerprint:
+        if fingerprint == CRASHING:
             self.crashing_calls.add((index, driver.last_call + 1))
         driver.request(f"{route.prefix}x", route.timeout_ms, fingerprint)
         self._run(index, driver.effects[before:])
@@ -124,21 +141,25 @@
         now = self.drivers[index].now
         for effect in effects:
             if isinstance(effect, SendAttempt):
-                self._at(now + WAY_MS, lambda at, e=effect: self._receive(index, e, at))  # type: ignore[misc]
+                self.at(now + WAY_MS, lambda at, e=effect: self._receive(index, e, at))  # type: ignore[misc]
             elif isinstance(effect, AbortAttempt):
                 for running in self.work.values():
                     running.pop((index, effect.attempt_id), None)
             elif isinstance(effect, ProbeConnection):
-                self._at(now + WAY_MS, lambda at, e=effect: self._probe(index, e, at))  # type: ignore[misc]
+                self.at(now + WAY_MS, lambda at, e=effect: self._probe(index, e, at))  # type: ignore[misc]
             elif isinstance(effect, AskPeer):
                 self._ask(index, effect)
+            elif isinstance(effect, Refuse):
+                self.refused_at.append(now)
+            elif isinstance(effect, LogDecision):
+                self.suspected += effect.event == "request_suspected"
         self.drivers[index].effects.clear()
         self._tick(index)
 
     def _tick(self, index: int) -> None:
         due_at = self.drivers[index].state.timers.next_at()
         if due_at is not None:
-            self._at(max(due_at, self.drivers[index].now), lambda now: self._on_tick(index, now))
+            self.at(max(due_at, self.drivers[index].now), lambda now: self._on_tick(index, now))
 
     def _on_tick(self, index: int, now: float) -> None:
         due_at = self.drivers[index].state.timers.next_at()
@@ -153,14 +174,17 @@
         running[index, effect.attempt_id] = None
         if (index, effect.call_id) in self.crashing_calls:
             self.received_at.append(now)
-            self.crashed_at.append(now)
-            self.down_until[effect.server_id] = now + START_MS
-            self.work[effect.server_id] = {}
-            for other, attempt_id in running:
-                self._fail(other, attempt_id, Failure.RESET, now)
+            self.crash(effect.server_id, now)
             return
         ends_at = now + self.work_ms * self.rng.uniform(0.6, 1.4)
-        self._at(ends_at, lambda at: self._end(index, effect, at))
+        self.at(ends_at, lambda at: self._end(index, effect, at))
+
+    def crash(self, server_id: str, now: float) -> None:
+        """Let a server break off all that it runs, and be gone for some seconds."""
+        self.crashed_at.append(now)
+        self.down_until[server_id] = now + START_MS
+        for index, attempt_id in self.work.pop(server_id, {}):
+            self._fail(index, attempt_id, Failure.RESET, now)
 
     def _end(self, index: int, effect: SendAttempt, now: float) -> None:
         running = self.work.get(effect.server_id, {})
@@ -168,17 +192,17 @@
             del running[index, effect.attempt_id]
             answer = good(signature=f"{effect.server_id}/{effect.attempt_id}".encode())
             event = AttemptAnswered(now + WAY_MS, effect.attempt_id, answer)
-            self._at(event.at, lambda at: self._give(index, event))
+            self.at(event.at, lambda at: self._give(index, event))
 
     def _fail(self, index: int, attempt_id: int, failure: Failure, now: float) -> None:
         event = AttemptFailed(now + WAY_MS, attempt_id, failure, failure is not Failure.REFUSED)
-        self._at(event.at, lambda at: self._give(index, event))
+        self.at(event.at, lambda at: self._give(index, event))
 
     def _probe(self, index: int, effect: ProbeConnection, now: float) -> None:
         is_up = now >= self.down_until.get(effect.server_id, 0.0)
         failure = None if is_up else Failure.REFUSED
         event = ConnectionProbed(now + WAY_MS, effect.server_id, failure)
-        self._at(event.at, lambda at: self._give(index, event))
+        self.at(event.at, lambda at: self._give(index, event))
 
     def _ask(self, index: int, effect: AskPeer) -> None:
         numbers = [
@@ -192,7 +216,7 @@
         now = asked.now = self.drivers[index].now
         answer = own_hello(asked.state)
         self._give(numbers[0], PeerHeard(now, effect.hello))
-        self._at(now + 2 * WAY_MS, lambda at: self._give(index, PeerHeard(at, answer)))
+        self.at(now + 2 * WAY_MS, lambda at: self._give(index, PeerHeard(at, answer)))
 
 
 @pytest.mark.parametrize(("instances", "crash_every_ms"), [(9, 700.0), (9, 1_500.0), (90, 700.0)])
@@ -223,6 +247,19 @@
     assert fleet.received_late() <= 3
 
 
+def test_frequent_request_is_served_though_several_servers_crash_under_it_at_once() -> None:
+    """Guards against equal requests of many callers that all instances refuse after an unrelated crash."""
+    fleet = Fleet(9, servers=11, work_ms=120.0)
+    start = fleet.drivers[0].now
+    for number in range(1, 6):
+        fleet.at(start + 3_000, lambda now, n=number: fleet.crash(f"a-{n}", now))  # type: ignore[misc]
+    fleet.run(10, 60.0, SINGLE, crash_every_ms=1e9, fingerprint=7)
+    assert fleet.suspected
+    refused = [at - start for at in fleet.refused_at]
+    assert not [at for at in refused if at > 4_000]
+    assert len(refused) < 10
+
+
 def crashed(driver: Driver, sent: SendAttempt) -> None:
     """Let a server break off an attempt and refuse the connection that is opened to find out."""
     driver.fail(sent, Failure.RESET)
--- a/turmerictiller/forwarding/quarantine.py
+++ b/turmerictiller/forwarding/quarantine.py
@@ -3,7 +3,7 @@
 A server that breaks off an attempt and then refuses connections has crashed. A connection is opened at
 once to find out, because an instance that has just lost an attempt prefers other servers and may not ask
 this one again for seconds. Each request that the server was working on is suspected. An answer to the same
-request, or to another part of it, shows that it does not crash servers.
+request at any instance, or to another part of it, shows that it does not crash servers.
 
 Instances add up what all have seen: each passes on the numbers of the others under the incarnation that
 counted them, so that none counts twice. A request is refused from the third crash on, at first for a short
@@ -96,7 +96,7 @@
     suspect = _suspect_of(state, broken.fingerprint, state.now)
     before = suspect.crashes
     own = suspect.counts_by_origin.setdefault(state.own_incarnation, CrashCount(0, state.now))
-    own.crashes += 1
+    own.crashes = own.crashes + 1 if own.changed_at > suspect.answered_at else 1
     own.changed_at = state.now
     tell_news(state)
     fields = {
@@ -132,14 +132,17 @@
 
 
 def on_answered(state: State, fingerprint: int) -> None:
-    """Take back the suspicion that an answer disproves; others are told that it is none now."""
+    """Take back the suspicion that an answer disproves, whoever had it; others are told at once.
+
+    A frequent request is answered while it is refused already, because some were sent before.
+    """
     suspect = state.suspects_by_fingerprint.get(fingerprint)
     if suspect is None:
         return
-    own = suspect.counts_by_origin.get(state.own_incarnation)
-    if own is not None and own.crashes:
-        own.crashes = 0
-        own.changed_at = state.now
+    if suspect.crashes:
+        suspect.answered_at = state.now
+        suspect.counts_by_origin[state.own_incarnation] = CrashCount(0, state.now)
+        tell_news(state)
 
 
 def quarantined_ms(state: State, fingerprint: int) -> float:
@@ -176,7 +179,10 @@
             continue
         before = suspect.crashes
         suspect.counts_by_origin[report.origin] = CrashCount(report.crashes, changed_at)
-        if report.crashes and suspect.crashes >= CRASHES_TO_PASS_ON:
+        if not report.crashes:
+            # An instance tells zero when it had an answer.
+            suspect.answered_at = max(suspect.answered_at, changed_at)
+        if suspect.crashes >= CRASHES_TO_PASS_ON or before >= CRASHES_TO_QUARANTINE:
             tell_news(state)
         _log_quarantine(state, report.fingerprint, suspect, before)
 
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -247,16 +247,22 @@
     """A request that may crash servers.
 
     :param first_at: earliest crash that is known here.
+    :param answered_at: latest answer to an equal request at any instance; it disproves earlier crashes.
     :param counts_by_origin: what instances have seen, this one included, by their incarnations.
     """
 
     first_at: Millis
+    answered_at: Millis = float("-inf")
     counts_by_origin: dict[int, CrashCount] = field(default_factory=dict)
 
     @property
     def crashes(self) -> int:
-        """Crashes that all instances have seen."""
-        return sum(count.crashes for count in self.counts_by_origin.values())
+        """Crashes that all instances have seen since the last answer."""
+        return sum(
+            count.crashes
+            for count in self.counts_by_origin.values()
+            if count.changed_at > self.answered_at
+        )
 
 
 @dataclass(slots=True)
