Look at announcements and suspects only where there are some

The calls that ask about pauses and suspects were made for each server of each part.

Change: the hot path asks only where a server has announced something, an answer says something, or any request is suspected.

--- a/turmerictiller/forwarding/announcements.py
+++ b/turmerictiller/forwarding/announcements.py
@@ -32,8 +32,6 @@
 
 def on_announced(state: State, server_id: str, answer: UpstreamAnswer) -> None:
     """Take over what an answer says of its server."""
-    if not (answer.leaving or answer.pause_ms or answer.unreadable):
-        return
     server = state.servers_by_id.get(server_id)
     if server is None:
         return
--- a/turmerictiller/forwarding/answers.py
+++ b/turmerictiller/forwarding/answers.py
@@ -50,7 +50,8 @@
     attempt, server = ended
     request = state.requests_by_call.get(attempt.call_id)
     answer = event.answer
-    on_announced(state, attempt.server_id, answer)
+    if answer.leaving or answer.pause_ms or answer.unreadable:
+        on_announced(state, attempt.server_id, answer)
     if answer.not_run:
         state.counters["attempts.not_run"] += 1
         service_state(state, attempt.service).shed_at = state.now
--- a/turmerictiller/forwarding/attempts.py
+++ b/turmerictiller/forwarding/attempts.py
@@ -31,7 +31,7 @@
     Servers that failed are tested only with first attempts that can be repeated: a second attempt
     is made because the first is late already.
     """
-    if quarantined_ms(state, request.fingerprint):
+    if state.suspects_by_fingerprint and quarantined_ms(state, request.fingerprint):
         return None
     part = request.parts[index]
     route = request.route
--- a/turmerictiller/forwarding/choice.py
+++ b/turmerictiller/forwarding/choice.py
@@ -66,7 +66,7 @@
         if server.entry.id in exclude or not has_room(server, limit, beyond):
             continue
         resort = is_last_resort(state, server)
-        if resort is None or is_paused(state, server):
+        if resort is None or (server.announced is not None and is_paused(state, server)):
             continue
         rank = 2 if resort else 0
         if now < server.ejected_until:
--- a/turmerictiller/forwarding/endings.py
+++ b/turmerictiller/forwarding/endings.py
@@ -182,7 +182,8 @@
             attempt = state.attempts_by_id.get(attempt_id)
             if attempt is None:
                 continue
-            attempt.is_disproved = request.included > 0
+            if request.included:
+                attempt.is_disproved = True
             server = state.servers_by_id.get(attempt.server_id)
             if server is not None and attempt_id in server.outstanding:
                 observe_no_answer(state, server, state.now - attempt.sent_at, times)
