Do not take servers for unreachable because the process itself was paused

Its log shows attempts lost as connect_timeout, all in one millisecond, 307 ms after the start on loopback: the process had not run for 300 ms, so the limit of 100 ms was over when it ran again, before the loop had handed on the connections that were open long before. Callers got 502, then 503, as these servers counted as unreachable. Reads of the store had the same fault: an answer that had arrived was dropped, and the store counted as lost.

Change: transport/time_limits.py. A limit whose timer comes more than 20 ms late lets the loop run for 20 ms before it ends the body. Opening of connections (also of probes, which would count a crash) and reads of the store use it.

The new tests fail without the change, on asyncio and on uvloop.

--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -6,15 +6,18 @@
 import resource
 import socket
 import struct
+import time
 from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING
 
 import pytest
+import uvloop
 
 from turmerictiller.clock import Clock
 from turmerictiller.forwarding.events import Failure
 from turmerictiller.platform.http_dialect import accepts
 from turmerictiller.transport.http_client import (
+    CONNECT_TIMEOUT_MS,
     MAX_BUFFERED_BYTES,
     MAX_HEAD_BYTES,
     NOT_ACCEPTED_MS,
@@ -320,6 +323,30 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(
+    "new_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"]
+)
+@pytest.mark.parametrize("passes", [1, 2, 3, 4])
+def test_pause_of_the_process_does_not_make_a_server_unreachable(
+    new_loop: Callable[[], asyncio.AbstractEventLoop], passes: int
+) -> None:
+    """Guards against open connections given up because the process itself did not run."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(response(await read_request(reader)))
+
+    async def play() -> None:
+        async with serving(script) as (pool, address):
+            asked = asyncio.create_task(ask(pool, address, "r1"))
+            for _ in range(passes):
+                await asyncio.sleep(0)
+            time.sleep(3 * CONNECT_TIMEOUT_MS / 1000)
+            assert body_of(await asked) == b"hits"
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(play())
+
+
 def test_request_is_not_sent_when_its_server_withdraws_while_the_connection_opens() -> None:
     """Guards against requests that reach a server which has just asked for none."""
     received = bytearray()
--- a/turmerictiller/platform/store.py
+++ b/turmerictiller/platform/store.py
@@ -13,6 +13,7 @@
 
 from turmerictiller.errors import TurmericError
 from turmerictiller.transport.http_client import Exchange
+from turmerictiller.transport.time_limits import time_limit
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Clock, Millis
@@ -113,7 +114,7 @@
         exchange = Exchange(data, lambda response, must_name: True, on_response, on_failure)
         self.pool.send(self.address, exchange)
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with time_limit(timeout_ms):
                 return await future
         except TimeoutError:
             raise StoreError("timed_out") from None
--- a/turmerictiller/transport/http_client.py
+++ b/turmerictiller/transport/http_client.py
@@ -12,6 +12,7 @@
 
 from turmerictiller.forwarding.events import Failure
 from turmerictiller.transport.messages import RawResponse
+from turmerictiller.transport.time_limits import time_limit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -368,7 +369,7 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+            async with time_limit(CONNECT_TIMEOUT_MS):
                 _, connection = await loop.create_connection(
                     lambda: ClientConnection(self, address), host, int(port)
                 )
