--- a/bench/processes.py
+++ b/bench/processes.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
 STOP_LIMIT_S = 10.0
+FREE_PORTS = range(10_000, 20_000)  # Linux takes ports for connections from 32768 on
 
 
 @dataclass
@@ -81,12 +84,16 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses on which nobody listens."""
-    probes = [socket.socket() for _ in range(count)]
-    try:
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
-    finally:
-        for probe in probes:
-            probe.close()
+    """Return loopback addresses on which nobody listens.
+
+    Their ports are below the range from which the system takes ports, so that no connection gets one
+    of them before the process that is to listen there.
+    """
+    found: list[str] = []
+    for port in random.sample(FREE_PORTS, len(FREE_PORTS)):
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            found.append(f"127.0.0.1:{port}")
+        if len(found) == count:
+            return found
+    raise OSError(f"there are no {count} free ports")
