List that a pause of an instance makes searches leave parts out

Timers of the decisions run at the first event after a pause, before the other answers that have arrived are read, and the pause counts as answer time of every server. Parts are left out, and for some time after it servers that are well count as overloaded.

Ruled out: servers that were paused as well; in the trials they ran on in another thread.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 from typing import TYPE_CHECKING
 
 import pytest
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from standins.shard_server import ShardServer
     from tests.platform.serving import Answer, Deployment
 
 
@@ -57,6 +59,37 @@
     asyncio.run(play())
 
 
+def test_answers_that_arrive_while_the_instance_is_paused_are_used(tmp_path: Path) -> None:
+    """Guards against parts left out because the target passed while the process did not run."""
+    answered: list[str] = []
+
+    def pause_at_the_last(server: ShardServer) -> None:
+        give = server._answer
+
+        async def answer(
+            writer: asyncio.StreamWriter, request_id: str, path: str, behaviour: str
+        ) -> bool:
+            goes_on = await give(writer, request_id, path, behaviour)
+            answered.append(request_id)
+            if answered.count("paused") == SHARDS:
+                # All answers are on their way, and the instance has read none of them.
+                time.sleep(0.3)
+            return goes_on
+
+        server._answer = answer  # type: ignore[method-assign]
+
+    async def play() -> None:
+        async with deployment(tmp_path) as made:
+            for server in made.servers_by_id.values():
+                pause_at_the_last(server)
+            caller = await made.caller()
+            await caller.ask("/search/q", request_id="first")
+            answer = await caller.ask("/search/q", request_id="paused")
+            assert check_merged(answer, made, "/search/q", "paused") == 0
+
+    asyncio.run(play())
+
+
 def test_what_no_route_allows_is_404_and_what_is_too_large_is_413(tmp_path: Path) -> None:
     """Guards against requests that reach a server which no route names."""
 
