Send a search only when the shards it needs have capacity

The work was lost at the crest, and "not run" could not be said. Change: forwarding/dispatch.py, which answers the crest of demand at shards with a single server. The parts of a search are held while a part that it cannot do without waits, and all are sent together; without capacity it is refused as not run. Ruled out: sending the scarce part first, which still wastes it when a second shard is scarce.

--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -16,7 +16,12 @@
     SendGossip,
     SendMergedAnswer,
 )
-from turmerictiller.forwarding.events import AttemptAnswered, GossipReceived, Tick
+from turmerictiller.forwarding.events import (
+    AttemptAnswered,
+    GossipReceived,
+    ServerEntryRemoved,
+    Tick,
+)
 from turmerictiller.forwarding.peers import build_gossip
 from turmerictiller.forwarding.state import new_state
 
@@ -25,6 +30,7 @@
 
 SLOTS = 4
 MAX_CONNECTIONS = 66  # of one server, for all instances together
+LEFT_BEFORE_MS = 3_000.0  # after which servers that left are not used as a last resort
 ROUND_TRIP_MS = 2.0  # between an instance and a server
 CALLER_ROUND_TRIP_MS = 6.0  # between a caller and an instance; counts against the target
 
@@ -42,7 +48,10 @@
     """A deployment of identical instances, and of shards with three servers each.
 
     :param service_ms: returns the service time of a request, by server and time.
+    :param removed_servers: ids of servers that left before the first search.
     :param late_arrivals: arrival times of searches that were refused or missed the target.
+    :param refused_calls: instance and call id of searches that were refused.
+    :param sent_calls: instance and call id of searches of which a part was sent.
     """
 
     instances: int
@@ -53,9 +62,12 @@
     slots: int = SLOTS
     max_connections: int = MAX_CONNECTIONS
     seed: int = 1
+    removed_servers: tuple[str, ...] = ()
     drivers: list[Driver] = field(default_factory=list)
     arrived_at: dict[tuple[int, int], float] = field(default_factory=dict)
     late_arrivals: list[float] = field(default_factory=list)
+    refused_calls: set[tuple[int, int]] = field(default_factory=set)
+    sent_calls: set[tuple[int, int]] = field(default_factory=set)
     sent: int = 0
     servers_by_id: dict[str, Server] = field(default_factory=dict)
     cancelled: set[tuple[int, int]] = field(default_factory=set)
@@ -80,6 +92,10 @@
                     configuration(route, max_connections=self.max_connections)
                 )
             )
+        for driver in self.drivers:
+            for server_id in self.removed_servers:
+                driver.dispatch(ServerEntryRemoved(driver.now, server_id, 2))
+            driver.wait(LEFT_BEFORE_MS)
         self.by_address = {driver.state.settings.peer_address: driver for driver in self.drivers}
 
     def run(self, per_second: float, seconds: float) -> None:
@@ -115,6 +131,8 @@
             elif isinstance(effect, SendGossip):
                 self._gossip(index, effect)
             elif isinstance(effect, SendMergedAnswer | ReplyRefusal):
+                if isinstance(effect, ReplyRefusal):
+                    self.refused_calls.add((index, effect.call_id))
                 ms = driver.now - self.arrived_at[index, effect.call_id] + CALLER_ROUND_TRIP_MS
                 if isinstance(effect, ReplyRefusal) or ms > self.target_ms:
                     self.late_arrivals.append(self.arrived_at[index, effect.call_id])
@@ -142,11 +160,13 @@
             if isinstance(effect, SendAttempt):
                 self._send(index, effect)
             elif isinstance(effect, ReplyRefusal):
+                self.refused_calls.add((index, effect.call_id))
                 self.late_arrivals.append(now)
         self._tick(index)
 
     def _send(self, index: int, effect: SendAttempt) -> None:
         self.sent += 1
+        self.sent_calls.add((index, effect.call_id))
         now = self.drivers[index].now
         server = self.servers_by_id.setdefault(effect.server_id, Server())
         work = (index, effect)
--- a/turmerictiller/forwarding/queueing.py
+++ b/turmerictiller/forwarding/queueing.py
@@ -10,14 +10,13 @@
 import math
 from typing import TYPE_CHECKING
 
-from turmerictiller.forwarding.attempts import choose_server_for_part, send_to
 from turmerictiller.forwarding.server_selection import current_slowness, is_usable
 from turmerictiller.forwarding.servers import is_last_resort
 from turmerictiller.forwarding.state import TimerKind, route_times, service_state
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Millis
-    from turmerictiller.forwarding.state import Request, ServerState, ServiceState, State
+    from turmerictiller.forwarding.state import Request, ServerState, State
 
 # A refusal after a quarter of the target is too late for a retry of the caller.
 MAX_WAIT_SHARE = 0.2
@@ -79,28 +78,3 @@
         server.announcement.paused_until if server.announcement is not None else -math.inf
     )
     return max(server.ejected_until, paused_until)
-
-
-def dispatch_queued_parts(state: State) -> None:
-    """Send queued parts of the services with freed capacity, the most urgent and oldest first."""
-    while state.freed_services:
-        service = state.freed_services.pop()
-        if service.queued_priority_by_part:
-            _dispatch_queued_parts_of(state, service)
-
-
-def _dispatch_queued_parts_of(state: State, service: ServiceState) -> None:
-    for key in sorted(
-        service.queued_priority_by_part, key=lambda key: (service.queued_priority_by_part[key], key)
-    ):
-        call_id, index = key
-        request = state.requests_by_call.get(call_id)
-        if request is None or request.caller_disconnected or not request.parts[index].is_queued:
-            del service.queued_priority_by_part[key]
-            continue
-        server = choose_server_for_part(state, request, index)
-        if server is None:
-            return
-        del service.queued_priority_by_part[key]
-        request.parts[index].is_queued = False
-        send_to(state, request, index, server, is_extra=False)
--- a/turmerictiller/forwarding/reducer.py
+++ b/turmerictiller/forwarding/reducer.py
@@ -8,13 +8,13 @@
     answers,
     completion,
     configuration,
+    dispatch,
     hedging,
     lifecycle,
     partition_detection,
     pauses,
     peers,
     quarantine,
-    queueing,
     readers,
     requests,
     servers,
@@ -89,7 +89,7 @@
         kind, key = due
         HANDLER_BY_TIMER[kind](state, key)
     if state.freed_services:
-        queueing.dispatch_queued_parts(state)
+        dispatch.dispatch_queued_parts(state)
     lifecycle.enter_running_phase(state)
     partition_detection.start_partition_checks(state)
     peers.start_gossip(state)
--- a/turmerictiller/forwarding/requests.py
+++ b/turmerictiller/forwarding/requests.py
@@ -6,18 +6,13 @@
 
 from turmerictiller.errors import Refusal
 from turmerictiller.forwarding.admission import admit
-from turmerictiller.forwarding.attempts import (
-    choose_server_for_part,
-    send_to,
-)
-from turmerictiller.forwarding.completion import fail_part, finish_if_decided
+from turmerictiller.forwarding.dispatch import dispatch_request
 from turmerictiller.forwarding.effects import (
     ReplyRefusal,
     WriteLog,
 )
-from turmerictiller.forwarding.overload import ANSWER_MARGIN_MS, parts_to_shed
-from turmerictiller.forwarding.queueing import enqueue_part
-from turmerictiller.forwarding.state import Part, Request, TimerKind, route_times, service_state
+from turmerictiller.forwarding.overload import ANSWER_MARGIN_MS
+from turmerictiller.forwarding.state import Part, Request, TimerKind, route_times
 from turmerictiller.forwarding.weights import next_service
 
 if TYPE_CHECKING:
@@ -26,7 +21,7 @@
         RequestArrived,
     )
     from turmerictiller.forwarding.model import Route
-    from turmerictiller.forwarding.state import ServerState, State
+    from turmerictiller.forwarding.state import State
 
 MIN_HEDGE_DELAY_MS = 5.0  # a round trip to a server takes up to 2 ms
 INITIAL_HEDGE_DELAY_SHARE = 0.4  # share of the target, used until answer times were recorded
@@ -46,7 +41,7 @@
         return
     request = _new_request(state, event, admitted)
     state.requests_by_call[event.call_id] = request
-    if not _send_parts(state, request):
+    if not dispatch_request(state, request):
         return
     times = route_times(state, admitted.name)
     hedge_delay_ms = max(
@@ -59,26 +54,6 @@
     state.timers.add(request.deadline_at, TimerKind.DEADLINE, event.call_id)
 
 
-def _send_parts(state: State, request: Request) -> bool:
-    """Send or queue the parts of a request; return false if it was answered or refused instead."""
-    server_by_part: dict[int, ServerState] = {}
-    for index, part in enumerate(request.parts):
-        service_state(state, part.service).first_attempts.add(state.now)
-        server = choose_server_for_part(state, request, index)
-        if server is not None:
-            server_by_part[index] = server
-        elif not enqueue_part(state, request, index):
-            fail_part(state, request, part, "no_server")
-    for index in parts_to_shed(state, request, server_by_part):
-        del server_by_part[index]
-        fail_part(state, request, request.parts[index], "overloaded")
-    if finish_if_decided(state, request):
-        return False
-    for index, server in server_by_part.items():
-        send_to(state, request, index, server, is_extra=False)
-    return True
-
-
 def _refuse_admission(state: State, event: RequestArrived, refusal: Refusal) -> None:
     state.counters[f"refusals.{refusal.type.value}"] += 1
     fields = {
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -161,6 +161,7 @@
     :param send_count: attempts so far.
     :param discounted_resets: resets of new connections that do not count as possible runs.
     :param failure_reason: why the part was given up; empty if it was not.
+    :param is_held: whether it is sent only together with queued parts of its request.
     """
 
     service: str
@@ -172,6 +173,7 @@
     answer: UpstreamAnswer | None = None
     failure_reason: str = ""
     is_queued: bool = False
+    is_held: bool = False
 
     @property
     def may_have_run(self) -> bool:
