Log which part a late answer waited for

Change: an answer that waits for a part beyond the target logs `late_part` with service, server, time, and the attempts that the server had in flight, with the age of the oldest; `explain` prints it. Ruled out: the predicted time, which would be computed again for each part that is sent.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -51,6 +51,30 @@
     assert "upstream_failed" in text
 
 
+def test_late_answer_is_explained_by_the_part_that_it_waited_for() -> None:
+    """Guards against a late answer whose slow shard cannot be found in the logs."""
+    driver = Driver().start(configuration(gather_route(2, 1.0)), 1)
+    first, call_id = driver.request(), driver.request()
+    for sent in driver.sent(call_id):
+        driver.wait(70)
+        driver.answer(sent)
+    text = "\n".join(format_timeline(read_timeline(f"r{call_id}", log_lines(driver))))
+    expected = "late because of s1: s1-1 took 140.0 ms, sent after 0.0 ms, with 1 in flight"
+    assert expected in text
+    for sent in driver.sent(first):
+        driver.answer(sent)
+
+
+def test_answer_at_the_target_waits_for_no_part() -> None:
+    """Guards against a part that is named as late though the answer was sent without the others."""
+    driver = Driver().start(configuration(gather_route(2, 0.5)), 1)
+    call_id = driver.request()
+    driver.answer(driver.sent(call_id)[0])
+    driver.wait(100)
+    assert driver.outcome(call_id) is not None
+    assert "late_part" not in driver.logged("request_ended")[-1].fields
+
+
 def test_bad_lines_are_skipped_and_counted(tmp_path: Path) -> None:
     """Guards against lines of other programs that make a whole log unreadable."""
     driver = Driver().start(configuration(single_route()), 1)
--- a/turmerictiller/explain.py
+++ b/turmerictiller/explain.py
@@ -95,6 +95,9 @@
 def _servers_of(line: dict[str, Any]) -> Iterator[str]:
     if isinstance(line.get("server"), str):
         yield line["server"]
+    late = line.get("late_part")
+    if isinstance(late, dict) and isinstance(late.get("server"), str):
+        yield late["server"]
     for part in line.get("missing") or ():
         if isinstance(part, dict):
             yield from (str(server) for server in part.get("asked") or ())
@@ -152,6 +155,13 @@
     )
     if line.get("parts"):
         text += f", {line['parts']} parts"
+    late = line.get("late_part")
+    if isinstance(late, dict) and late:
+        text += (
+            f"\n    late because of {late.get('service')}: {late.get('server')} took"
+            f" {late.get('ms')} ms, sent after {late.get('sent_after_ms')} ms, with"
+            f" {late.get('in_flight')} in flight, the oldest for {late.get('oldest_ms')} ms"
+        )
     missing = [part for part in line.get("missing") or () if isinstance(part, dict)]
     for part in missing:
         text += f"\n    {part.get('service')} is missing: {part.get('reason')}"
--- a/turmerictiller/forwarding/answers.py
+++ b/turmerictiller/forwarding/answers.py
@@ -81,7 +81,7 @@
         return
     part.attempt_ids.remove(attempt.id)
     if is_good or not request.route.shards and not _is_retryable(request, answer):
-        _accept_answer(state, request, part, answer)
+        _accept_answer(state, request, part, attempt, answer)
     else:
         _retry_or_fail_part(state, request, attempt, f"status_{answer.status}", answer)
 
@@ -151,8 +151,13 @@
     return request.route.idempotent and answer.status >= 500
 
 
-def _accept_answer(state: State, request: Request, part: Part, answer: UpstreamAnswer) -> None:
+def _accept_answer(
+    state: State, request: Request, part: Part, attempt: Attempt, answer: UpstreamAnswer
+) -> None:
     part.answer = answer
+    part.answered_by = attempt
+    part.answered_at = state.now
+    request.last_answered = part
     request.open_parts -= 1
     request.answered_parts += 1
     if not request.route.shards:
@@ -206,7 +211,7 @@
         return
     if answer is not None and not request.route.shards:
         # Without a retry, the caller gets the error answer of the server itself.
-        _accept_answer(state, request, part, answer)
+        _accept_answer(state, request, part, attempt, answer)
         return
     fail_part(state, request, part, reason)
     finish_if_decided(state, request)
--- a/turmerictiller/forwarding/attempts.py
+++ b/turmerictiller/forwarding/attempts.py
@@ -7,7 +7,7 @@
 from turmerictiller.forwarding.contention import is_contested
 from turmerictiller.forwarding.effects import SendAttempt
 from turmerictiller.forwarding.quarantine import remaining_quarantine_ms
-from turmerictiller.forwarding.server_selection import choose_server, expected_ms
+from turmerictiller.forwarding.server_selection import choose_server, expected_ms, oldest_attempt_ms
 from turmerictiller.forwarding.state import Attempt, route_times, service_state
 
 if TYPE_CHECKING:
@@ -77,6 +77,8 @@
         route.idempotent,
         request.fingerprint,
         is_extra,
+        in_flight=len(server.sent_at_by_attempt),
+        oldest_ms=oldest_attempt_ms(state, server),
     )
     state.next_attempt_id += 1
     state.attempts_by_id[attempt.id] = attempt
--- a/turmerictiller/forwarding/completion.py
+++ b/turmerictiller/forwarding/completion.py
@@ -8,7 +8,7 @@
 from turmerictiller.errors import Ran, Refusal, RefusalType
 from turmerictiller.forwarding.admission import no_server_refusal
 from turmerictiller.forwarding.attempts import end_attempt
-from turmerictiller.forwarding.describe import describe_missing
+from turmerictiller.forwarding.describe import describe_late_part, describe_missing
 from turmerictiller.forwarding.effects import (
     CancelAttempt,
     ReplyRefusal,
@@ -211,6 +211,8 @@
     }
     if request.route.shards:
         fields["parts"] = f"{request.answered_parts}/{len(request.parts)}"
+    if request.target_passed and (late_part := describe_late_part(state, request)):
+        fields["late_part"] = late_part
     if request.is_unusual:
         fields["missing"] = describe_missing(state, request)
     state.out.append(WriteLog("request_ended", fields, urgent=outcome != "answered"))
--- a/turmerictiller/forwarding/describe.py
+++ b/turmerictiller/forwarding/describe.py
@@ -32,6 +32,25 @@
     ]
 
 
+def describe_late_part(state: State, request: Request) -> dict[str, object]:
+    """Return the part that a late answer waited for, and the load of its server when it was sent.
+
+    Empty if the answer waited for no part.
+    """
+    part = request.last_answered
+    if part is None or part.answered_by is None or part.answered_at < state.now:
+        return {}
+    attempt = part.answered_by
+    return {
+        "service": part.service,
+        "server": attempt.server_id,
+        "sent_after_ms": round(attempt.sent_at - request.arrived_at, 1),
+        "ms": round(state.now - attempt.sent_at, 1),
+        "in_flight": attempt.in_flight,
+        "oldest_ms": round(attempt.oldest_ms, 1),
+    }
+
+
 def _describe_servers(state: State, part: Part) -> dict[str, str]:
     service = state.services_by_name.get(part.service)
     servers = list(service.servers_by_id.values()) if service else []
--- a/turmerictiller/forwarding/server_selection.py
+++ b/turmerictiller/forwarding/server_selection.py
@@ -79,10 +79,8 @@
             if server.unreachable:
                 continue
             rank += 4
-        if server.sent_at_by_attempt:
-            oldest_at = next(iter(server.sent_at_by_attempt.values()))
-            if now - oldest_at > overdue_ms:
-                rank += 1
+        if oldest_attempt_ms(state, server) > overdue_ms:
+            rank += 1
         if server.consecutive_failures >= FAILURES_TO_EJECT:
             if may_probe and not last_resort and not server.sent_at_by_attempt:
                 _extend_ejection(state, server)
@@ -97,6 +95,13 @@
     return best
 
 
+def oldest_attempt_ms(state: State, server: ServerState) -> float:
+    """Return the age of the oldest attempt that a server has in flight; 0 without one."""
+    if not server.sent_at_by_attempt:
+        return 0.0
+    return state.now - next(iter(server.sent_at_by_attempt.values()))
+
+
 def is_usable(state: State, server: ServerState) -> bool:
     """Return whether a server may get requests when it has capacity."""
     is_unreachable = state.now < server.ejected_until and server.unreachable
--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -162,6 +162,8 @@
     :param discounted_resets: resets of new connections that do not count as possible runs.
     :param failure_reason: why the part was given up; empty if it was not.
     :param is_held: whether it is sent only together with queued parts of its request.
+    :param answered_by: the attempt whose answer was accepted.
+    :param answered_at: when its answer was accepted.
     """
 
     service: str
@@ -174,6 +176,8 @@
     failure_reason: str = ""
     is_queued: bool = False
     is_held: bool = False
+    answered_by: Attempt | None = None
+    answered_at: Millis = float("inf")
 
     @property
     def may_have_run(self) -> bool:
@@ -188,6 +192,7 @@
     :param target_at: when to answer so that the answer reaches the caller by the target time.
     :param open_parts: number of parts that are neither answered nor failed.
     :param answered_parts: number of answered parts.
+    :param last_answered: the part that was answered last.
     :param is_unusual: whether anything happened besides one answered attempt per part.
     """
 
@@ -202,6 +207,7 @@
     parts: list[Part]
     open_parts: int
     answered_parts: int = 0
+    last_answered: Part | None = None
     is_unusual: bool = False
     target_passed: bool = False
     caller_disconnected: bool = False
@@ -214,6 +220,8 @@
     :param is_extra: whether it is a retry or a hedge.
     :param is_crash_ruled_out: whether another part of its request was answered, which shows that
         the request does not crash servers.
+    :param in_flight: attempts of this instance that the server had in flight when it was sent.
+    :param oldest_ms: age of the oldest of these attempts at that time.
     """
 
     id: int
@@ -227,6 +235,8 @@
     fingerprint: int
     is_extra: bool = False
     is_crash_ruled_out: bool = False
+    in_flight: int = 0
+    oldest_ms: Millis = 0.0
 
 
 @dataclass(frozen=True, slots=True)
