Count the age of the oldest attempt in the expected time of a server

Cause: servers pause for 200 ms, and a queue at the crest grows within as much. Answer times show both only when they are over; until then the expected time knew the number of attempts of this instance alone, and parts went on to the server. Change: the age of the oldest attempt in flight, in medians of its own route, plus one, is a lower bound of the expected time. It answers pauses of servers, and queues that other instances have filled.

--- a/tests/forwarding/test_server_selection.py
+++ b/tests/forwarding/test_server_selection.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import Counter
 
 from tests.forwarding.driving import Driver, configuration, entry, single_route
+from tests.forwarding.simulation import Simulation
 from turmerictiller.forwarding.events import FailureKind, ServerEntryReceived
 from turmerictiller.forwarding.server_selection import (
     FAILURES_TO_EJECT,
@@ -12,6 +14,9 @@
     PROBATION_MS,
 )
 
+PAUSE_MS = 200.0
+PAUSE_EVERY_MS = 2_000.0
+
 
 def warmed_up_driver(idempotent: bool = True, servers: int = 3) -> Driver:
     """Return a driver whose route has recorded answer times."""
@@ -108,3 +113,42 @@
     driver.dispatch(ServerEntryReceived(driver.now, entry("a-1", "a", 2, domain="south")))
     counts = Counter(serve(driver, {"a-1": 20.0, "a-2": 20.0}) for _ in range(50))
     assert counts["a-2"] >= 40
+
+
+def test_paused_server_gets_no_requests_before_its_answers_show_the_pause() -> None:
+    """Guards against parts that queue at a server that has just stopped answering."""
+    driver = warmed_up_driver()
+    chosen = []
+    for _ in range(6):
+        sent = driver.sent(driver.request("/one/x", budget_ms=2_000))[0]
+        chosen.append(sent.server_id)
+        if sent.server_id != "a-1":
+            driver.wait(20)
+            driver.answer(sent)
+        else:
+            driver.wait(40)
+    assert chosen.count("a-1") == 1
+
+
+def test_searches_avoid_servers_that_pause() -> None:
+    """Guards against late searches while servers pause, each now and then at its own time.
+
+    A shard has two other servers during a pause, so nine of ten searches can be in time.
+    """
+    deployment = Simulation(
+        instances=6,
+        shards=10,
+        target_ms=100.0,
+        min_share=1.0,
+        service_ms=service_ms_with_pauses,
+    )
+    deployment.run(per_second=150, seconds=8)
+    start = min(deployment.arrived_at.values())
+    assert deployment.share_in_time(start + 1_000, start + 8_000) >= 0.9
+
+
+def service_ms_with_pauses(server_id: str, now: float) -> float:
+    """Return the service time of a request that a server starts to run; it waits for a pause."""
+    offset_ms = zlib.crc32(server_id.encode()) % PAUSE_EVERY_MS
+    into_pause_ms = (now + offset_ms) % PAUSE_EVERY_MS
+    return 15.0 + max(0.0, PAUSE_MS - into_pause_ms)
--- a/turmerictiller/forwarding/server_selection.py
+++ b/turmerictiller/forwarding/server_selection.py
@@ -15,7 +15,7 @@
 )
 from turmerictiller.forwarding.servers import is_last_resort
 from turmerictiller.forwarding.shared_slowness import combined_slowness, observe_slowness
-from turmerictiller.forwarding.state import service_state
+from turmerictiller.forwarding.state import route_times, service_state
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -89,7 +89,7 @@
                 rank += 1
         # Gossip influences only the choice of a server. Whether an answer can be in time is
         # estimated from own observations, so that outdated gossip causes no refusal.
-        cost = expected_cost(state, server) * _shared_slowness_factor(state, server)
+        cost = expected_cost(state, server, times) * _shared_slowness_factor(state, server)
         if (rank, cost) < best_rank:
             best, best_rank = server, (rank, cost)
     return best
@@ -112,12 +112,13 @@
     )
 
 
-def expected_cost(state: State, server: ServerState) -> float:
+def expected_cost(state: State, server: ServerState, times: RouteTimes) -> float:
     """Return the expected time of one more attempt, as a multiple of the median."""
     entry = server.entry
     load = 1 + len(server.sent_at_by_attempt) / max(1, entry.slots)
     failure_rate = server.failure_rate * _decay(state, server)
-    cost = current_slowness(state, server) * load + FAILURE_RATE_COST * failure_rate
+    cost = max(current_slowness(state, server) * load, _backlog(state, server, times))
+    cost += FAILURE_RATE_COST * failure_rate
     if entry.domain != state.settings.failure_domain:
         cost += OTHER_DOMAIN_COST
     if entry.warmup_ms and state.now - server.added_at < entry.warmup_ms:
@@ -127,7 +128,23 @@
 
 def expected_ms(state: State, server: ServerState, times: RouteTimes) -> float:
     """Return the expected time of one more attempt; 0 until answer times were recorded."""
-    return expected_cost(state, server) * times.median_ms
+    return expected_cost(state, server, times) * times.median_ms
+
+
+def _backlog(state: State, server: ServerState, times: RouteTimes) -> float:
+    """Return the least time of one more attempt that the attempts in flight indicate.
+
+    Answer times show a pause or a queue of a server only when it is over. Until then, the age of
+    its oldest attempt does: a new one waits at least as long, and then takes its own time.
+
+    :returns: a multiple of the median of the route of the oldest attempt.
+    """
+    oldest_id = next(iter(server.sent_at_by_attempt), None)
+    oldest = state.attempts_by_id.get(oldest_id) if oldest_id is not None else None
+    if oldest is None:
+        return 0.0
+    median_ms = route_times(state, oldest.route).median_ms or times.median_ms
+    return 1 + (state.now - oldest.sent_at) / median_ms if median_ms else 0.0
 
 
 def _shared_slowness_factor(state: State, server: ServerState) -> float:
