Keep attempts within the limits of servers, and lower the limits earlier

Cause: a server at its limit still got attempts whose answers were expected within twice the target. At the crest the last server of a shard served at its capacity, but out of a queue that made most answers late; slow servers likewise. Limits fell only when answers took three times the median, which is close to the target at a queue of two dozen. Change: attempts beyond the limits are gone, with the rule for them after a pause; a limit falls at twice the median.

--- a/turmerictiller/forwarding/announcements.py
+++ b/turmerictiller/forwarding/announcements.py
@@ -27,7 +27,6 @@
 # Jitter on the end of a pause, as a share of the pause, and its maximum.
 RETURN_SPREAD = 0.1
 MAX_RETURN_SPREAD_MS = 1_000.0
-RETURN_MS = 500.0  # time after a pause in which the limit of a server may not be exceeded
 MAX_ANNOUNCEMENTS = 4_096  # equals the number of removed servers whose revisions are kept
 
 
@@ -52,13 +51,6 @@
     return server.announcement is not None and state.now < server.announcement.paused_until
 
 
-def is_returning(state: State, server: ServerState) -> bool:
-    """Return whether a server is paused, or its pause ended less than ``RETURN_MS`` ago."""
-    return (
-        server.announcement is not None and state.now < server.announcement.paused_until + RETURN_MS
-    )
-
-
 def _get_or_add_announcement(state: State, server: ServerState) -> Announcement:
     if server.announcement is None:
         server.announcement = Announcement()
--- a/turmerictiller/forwarding/attempts.py
+++ b/turmerictiller/forwarding/attempts.py
@@ -7,7 +7,7 @@
 from turmerictiller.forwarding.contention import is_contested
 from turmerictiller.forwarding.effects import SendAttempt
 from turmerictiller.forwarding.quarantine import remaining_quarantine_ms
-from turmerictiller.forwarding.server_selection import choose_server, expected_ms, oldest_attempt_ms
+from turmerictiller.forwarding.server_selection import choose_server, oldest_attempt_ms
 from turmerictiller.forwarding.state import Attempt, route_times, service_state
 
 if TYPE_CHECKING:
@@ -15,11 +15,8 @@
 
 RETURN_MARGIN_MS = 5.0  # an answer takes 1 to 3 ms back to the caller
 MIN_BUDGET_MS = 1.0
-# Time after a server of a service rejected an attempt in which the service gets no hedges and no
-# attempts beyond the limits.
+# Time after a server of a service rejected an attempt in which the service gets no hedges.
 SHED_BACKOFF_MS = 500.0
-# Multiple of the target up to which a late answer is still expected to be useful to the caller.
-MAX_LATE_FACTOR = 2.0
 
 
 def choose_server_for_part(
@@ -39,16 +36,7 @@
     service = service_state(state, part.service)
     times = route_times(state, route.name)
     may_probe = route.idempotent and not is_extra
-    server = choose_server(state, service, times, part.tried_server_ids, may_probe)
-    if server is not None or is_extra or state.now - service.shed_at < SHED_BACKOFF_MS:
-        return server
-    # A slow server without a queue answers late, which is better than a refusal.
-    server = choose_server(
-        state, service, times, part.tried_server_ids, may_probe, beyond_limit=True
-    )
-    if server is None or expected_ms(state, server, times) > MAX_LATE_FACTOR * route.target_ms:
-        return None
-    return server
+    return choose_server(state, service, times, part.tried_server_ids, may_probe)
 
 
 def start_attempt(state: State, request: Request, index: int, is_extra: bool = False) -> bool:
--- a/turmerictiller/forwarding/limits.py
+++ b/turmerictiller/forwarding/limits.py
@@ -3,6 +3,9 @@
 A server runs a few requests at once and queues the others. Every instance lowers its limit when
 answers take much longer than the median and raises it again slowly, from its own observations and
 without coordination. Together they keep the queue short, whatever their number.
+
+At the crest of demand on a shard with a single server, a search beyond the limit would be late, and
+make all searches behind it late.
 """
 
 from __future__ import annotations
@@ -18,8 +21,9 @@
 # closing ones for a moment.
 USABLE_CONNECTIONS_SHARE = 0.9
 MIN_CONNECTIONS = 1
-# Noise makes a server 2.5 times slower for a while; longer answers indicate a queue or a fault.
-CONGESTED_FACTOR = 3.0
+# An answer that takes longer has waited in a queue for as long as it ran. Servers that are slower by
+# as much for a while have less capacity as well.
+CONGESTED_FACTOR = 2.0
 DECREASE_FACTOR = 0.7
 INCREASE_STEP = 0.25
 MIN_LIMIT = 1.0
@@ -35,15 +39,12 @@
     return max(MIN_CONNECTIONS, round(share))
 
 
-def has_capacity(server: ServerState, max_in_flight: int, beyond_limit: bool = False) -> bool:
+def has_capacity(server: ServerState, max_in_flight: int) -> bool:
     """Return whether one more attempt may be sent to a server.
 
     :param max_in_flight: this instance's share of the connections of the server.
-    :param beyond_limit: whether to ignore the adaptive limit.
     """
-    allowed = (
-        max_in_flight if beyond_limit or not server.limit else min(max_in_flight, int(server.limit))
-    )
+    allowed = min(max_in_flight, int(server.limit)) if server.limit else max_in_flight
     return len(server.sent_at_by_attempt) < allowed
 
 
--- a/turmerictiller/forwarding/server_selection.py
+++ b/turmerictiller/forwarding/server_selection.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from turmerictiller.forwarding.announcements import is_paused, is_returning
+from turmerictiller.forwarding.announcements import is_paused
 from turmerictiller.forwarding.effects import WriteLog
 from turmerictiller.forwarding.limits import (
     adapt_limit,
@@ -51,7 +51,6 @@
     times: RouteTimes,
     exclude: Container[str],
     may_probe: bool,
-    beyond_limit: bool = False,
 ) -> ServerState | None:
     """Return the server with the lowest expected cost, or ``None`` if there is no usable one.
 
@@ -59,8 +58,6 @@
 
     :param exclude: ids of servers that may not be chosen.
     :param may_probe: whether to probe a server whose ejection is over with this attempt.
-    :param beyond_limit: whether to use this instance's whole share of the connections of a server,
-        beyond its adaptive limit.
     """
     now = state.now
     limit = connection_share(state, service)
@@ -68,8 +65,7 @@
     best: ServerState | None = None
     best_rank = (_WORST_RANK, 0.0)
     for server in service.servers_by_id.values():
-        ignores_limit = beyond_limit and not is_returning(state, server)
-        if server.entry.id in exclude or not has_capacity(server, limit, ignores_limit):
+        if server.entry.id in exclude or not has_capacity(server, limit):
             continue
         last_resort = is_last_resort(state, server)
         if last_resort is None or (server.announcement is not None and is_paused(state, server)):
