Hedge the parts of searches that were held or queued

Cause: the hedge timer of a search skipped parts that had not been sent and, if no other part was late, was not set again, so that a part that was sent after it was never hedged. A held search makes this more likely. Change: held and queued parts are checked again. The test fails without it. Ruled out: a timer for each part, which costs one more timer a part.

--- a/tests/forwarding/test_dispatch.py
+++ b/tests/forwarding/test_dispatch.py
@@ -7,7 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.forwarding.driving import Driver, configuration, gather_route, refusal_of
+from tests.forwarding.driving import (
+    Driver,
+    configuration,
+    gather_route,
+    refusal_of,
+    sharded_driver,
+)
 from tests.forwarding.simulation import Simulation
 from turmerictiller.errors import Ran, RefusalType
 from turmerictiller.forwarding.effects import SendMergedAnswer
@@ -60,6 +66,25 @@
     assert outcome.missing == 0
 
 
+def test_search_that_was_held_beyond_the_hedge_delay_is_still_hedged() -> None:
+    """Guards against late parts that are not hedged because they were sent after the hedge timer."""
+    driver = sharded_driver(min_share=1.0, target_ms=200.0)
+    for server in driver.state.services_by_name["s0"].servers_by_id.values():
+        server.limit = 1.0
+    blocking = [driver.request() for _ in range(3)]
+    call_id = driver.request()
+    assert driver.sent(call_id) == []
+    driver.wait(driver.state.times_by_route["all"].hedge_delay_ms + 5)
+    for sent in [item for blocked in blocking for item in driver.sent(blocked)]:
+        driver.answer(sent)
+    first = driver.sent(call_id)
+    assert len(first) == 4
+    for sent in first[:-1]:
+        driver.answer(sent)
+    driver.wait(60)
+    assert len(driver.sent(call_id)) == 5
+
+
 def test_search_without_capacity_is_refused_as_not_run() -> None:
     """Guards against "may have run" for searches that never had a chance."""
     driver, _ = driver_without_capacity_at("s0", "s1")
--- a/turmerictiller/forwarding/hedging.py
+++ b/turmerictiller/forwarding/hedging.py
@@ -28,6 +28,9 @@
         return
     needs_recheck = False
     for index, part in enumerate(request.parts):
+        if part.is_held or part.is_queued:
+            needs_recheck = True
+            continue
         if part.answer is not None or part.failure_reason or len(part.attempt_ids) != 1:
             continue
         if part.possible_runs >= request.route.max_servers:
