Extend the ejection of a server when its probe is sent

Cause: the ejection of a server was extended when it was chosen for a probe. A search that is held, shed or refused sends nothing, so that a server stayed ejected for up to two more seconds without having been tried. Change: the ejection is extended when the attempt is sent. The test fails without it. Ruled out: not choosing ejected servers for held searches, which would keep probes from searches that are sent later.

--- a/tests/forwarding/test_dispatch.py
+++ b/tests/forwarding/test_dispatch.py
@@ -17,6 +17,7 @@
 from tests.forwarding.simulation import Simulation
 from turmerictiller.errors import Ran, RefusalType
 from turmerictiller.forwarding.effects import SendMergedAnswer
+from turmerictiller.forwarding.server_selection import FAILURES_TO_EJECT
 
 if TYPE_CHECKING:
     from turmerictiller.forwarding.effects import SendAttempt
@@ -66,6 +67,19 @@
     assert outcome.missing == 0
 
 
+def test_held_search_does_not_delay_the_probe_of_an_ejected_server() -> None:
+    """Guards against servers that stay ejected because probes were chosen but never sent."""
+    driver, _ = driver_without_capacity_at("s0", "s1")
+    ejected = driver.state.servers_by_id["s2-1"]
+    ejected.consecutive_failures = FAILURES_TO_EJECT
+    ejected.unreachable = True
+    ejected.ejected_until = driver.now
+    call_id = driver.request()
+    driver.wait(30)
+    assert driver.sent(call_id) == []
+    assert ejected.ejected_until <= driver.now
+
+
 def test_search_that_was_held_beyond_the_hedge_delay_is_still_hedged() -> None:
     """Guards against late parts that are not hedged because they were sent after the hedge timer."""
     driver = sharded_driver(min_share=1.0, target_ms=200.0)
--- a/turmerictiller/forwarding/attempts.py
+++ b/turmerictiller/forwarding/attempts.py
@@ -7,7 +7,12 @@
 from turmerictiller.forwarding.contention import is_contested
 from turmerictiller.forwarding.effects import SendAttempt
 from turmerictiller.forwarding.quarantine import remaining_quarantine_ms
-from turmerictiller.forwarding.server_selection import choose_server, oldest_attempt_ms
+from turmerictiller.forwarding.server_selection import (
+    choose_server,
+    oldest_attempt_ms,
+    on_probe_sent,
+)
+from turmerictiller.forwarding.servers import is_last_resort
 from turmerictiller.forwarding.state import Attempt, route_times, service_state
 
 if TYPE_CHECKING:
@@ -68,6 +73,8 @@
         in_flight=len(server.sent_at_by_attempt),
         oldest_ms=oldest_attempt_ms(state, server),
     )
+    if route.idempotent and not is_extra and not is_last_resort(state, server):
+        on_probe_sent(state, server)
     state.next_attempt_id += 1
     state.attempts_by_id[attempt.id] = attempt
     server.sent_at_by_attempt[attempt.id] = state.now
--- a/turmerictiller/forwarding/dispatch.py
+++ b/turmerictiller/forwarding/dispatch.py
@@ -55,12 +55,12 @@
             if request is None or request.caller_disconnected or not request.parts[index].is_queued:
                 queue.pop(key, None)
             elif any(part.is_held for part in request.parts):
-                dispatch_held_request(state, request)
+                _dispatch_held_request(state, request)
             elif not _dispatch_queued_part(state, request, index):
                 break
 
 
-def dispatch_held_request(state: State, request: Request) -> None:
+def _dispatch_held_request(state: State, request: Request) -> None:
     """Send the parts of a request that are held, and those queued ones that have capacity.
 
     Nothing is sent unless enough parts have capacity.
--- a/turmerictiller/forwarding/server_selection.py
+++ b/turmerictiller/forwarding/server_selection.py
@@ -79,7 +79,6 @@
             rank += 1
         if server.consecutive_failures >= FAILURES_TO_EJECT:
             if may_probe and not last_resort and not server.sent_at_by_attempt:
-                _extend_ejection(state, server)
                 return server
             if now < server.ejected_until + PROBATION_MS:
                 rank += 1
@@ -98,6 +97,12 @@
     return state.now - next(iter(server.sent_at_by_attempt.values()))
 
 
+def on_probe_sent(state: State, server: ServerState) -> None:
+    """Extend the ejection of a server that gets a probe, so that others wait for its result."""
+    if server.consecutive_failures >= FAILURES_TO_EJECT and not server.sent_at_by_attempt:
+        _extend_ejection(state, server)
+
+
 def is_usable(state: State, server: ServerState) -> bool:
     """Return whether a server may get requests when it has capacity."""
     is_unreachable = state.now < server.ejected_until and server.unreachable
