Keep following the store when a document cannot be parsed

After another writer put one deeply nested entry under servers/, instances applied no change of any server. 226 requests reached a draining server later than the bound of 3 s, and a restarted instance never became ready.

Cause: msgspec raises RecursionError, neither DecodeError nor ValueError, for nesting beyond the limit of the interpreter. It was raised through the loop over all items, so the whole answer of the store was dropped, again at each retry.

Ruled out: an unavailable store (no failed call), and the size of the value (200,000 opening brackets are rejected by type and do no harm).

Change: all values are decoded in one function that reports deep nesting as DocumentError. The replica handles errors of any type for each document and logs unexpected ones as document_fault.

Why it works: an invalid document is skipped where it is parsed, so the others of the same answer are applied whatever the document contains.

--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -12,10 +12,12 @@
     Event,
     RegistryLost,
     RegistryRead,
+    ServerEntryReceived,
     ServerEntryRemoved,
     ServersListed,
 )
 from turmerictiller.forwarding.readers import ReadPlan
+from turmerictiller.platform.documents import parse_server_entry
 from turmerictiller.platform.registry import MAX_TOMBSTONES, PLAN_CHECK_INTERVAL_MS, RegistryReplica
 from turmerictiller.platform.store import HistoryGoneError, StoreClient, StoreItem
 from turmerictiller.transport.http_client import ConnectionPool
@@ -24,6 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from turmerictiller.forwarding.model import ServerEntry
+
 
 class FaultyStore(StoreClient):
     """A store whose first list raises an unexpected error."""
@@ -206,6 +210,51 @@
     run_replica(scenario, lambda: plan)
 
 
+DEEPLY_NESTED = b'{"a":' * 2_000 + b"1" + b"}" * 2_000
+
+
+@pytest.mark.parametrize("read", ["watch", "list", "peer"])
+@pytest.mark.parametrize("is_expected_error", [True, False])
+def test_document_that_cannot_be_parsed_does_not_stop_the_others(
+    monkeypatch: pytest.MonkeyPatch, read: str, is_expected_error: bool
+) -> None:
+    """Guards against one foreign entry that ends the following of all servers."""
+    if not is_expected_error:
+
+        def parse(server_id: str, revision: int, value: bytes) -> ServerEntry:
+            if value == DEEPLY_NESTED:
+                raise RuntimeError("unexpected")
+            return parse_server_entry(server_id, revision, value)
+
+        monkeypatch.setattr("turmerictiller.platform.registry.parse_server_entry", parse)
+    clock = Clock()
+    events: list[Event] = []
+    lines: list[str] = []
+    registry = RegistryReplica(
+        ScriptedStore(clock),
+        clock,
+        300.0,
+        lambda: ReadPlan.READER,
+        events.append,
+        lambda event, fields, urgent: lines.append(event),
+    )
+    items = [StoreItem("servers/a", 6, DEEPLY_NESTED), StoreItem("servers/b", 7, ENTRY)]
+    if read == "watch":
+        for item in items:
+            registry._on_change(item)
+    elif read == "list":
+        registry._on_list(7, items)
+    else:
+        registry.merge_peer_documents([Document(i.key, i.revision, i.value) for i in items])
+    received_ids = []
+    for event in events:
+        assert isinstance(event, ServersListed | ServerEntryReceived)
+        entries = event.entries if isinstance(event, ServersListed) else (event.entry,)
+        received_ids += [entry.id for entry in entries]
+    assert received_ids == ["b"]
+    assert lines == ["entry_unreadable" if is_expected_error else "document_fault"]
+
+
 @pytest.mark.parametrize("read", ["watch", "list"])
 def test_outdated_read_does_not_revert_newer_peer_changes(read: str) -> None:
     """Guards against an instance that sends incomplete changes for the revision it reports."""
--- a/turmerictiller/platform/documents.py
+++ b/turmerictiller/platform/documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta, Struct, field
@@ -19,6 +19,8 @@
 
 IDEMPOTENT_KIND = "idempotent"
 
+T = TypeVar("T")
+
 NonEmptyStr = Annotated[str, Meta(min_length=1)]
 PositiveInt = Annotated[int, Meta(ge=1)]
 PositiveFloat = Annotated[float, Meta(gt=0)]
@@ -42,6 +44,19 @@
     born: int = 0
 
 
+def _decode(value: bytes, kind: type[T]) -> T:
+    """Decode and validate a JSON document.
+
+    :raises DocumentError: if it is invalid or nested too deeply.
+    """
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise DocumentError(str(error)[:500]) from None
+    except RecursionError:
+        raise DocumentError("nested too deeply") from None
+
+
 def _validate_address(value: str) -> None:
     host, _, port = value.rpartition(":")
     ipaddress.IPv4Address(host)
@@ -54,10 +69,10 @@
 
     :raises DocumentError: if the value is invalid, since the store accepts any value.
     """
+    entry = _decode(value, _ServerValue)
     try:
-        entry = msgspec.json.decode(value, type=_ServerValue)
         _validate_address(entry.address)
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise DocumentError(str(error)[:200]) from None
     return ServerEntry(
         server_id,
@@ -118,10 +133,7 @@
 
     :raises DocumentError: if it is invalid.
     """
-    try:
-        document = msgspec.json.decode(value, type=_ConfigurationValue)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise DocumentError(str(error)[:500]) from None
+    document = _decode(value, _ConfigurationValue)
     routes_by_host: dict[str, dict[str, Route]] = {}
     for item in document.routes:
         routes_by_host.setdefault(item.host.lower(), {})[item.prefix] = _build_route(item)
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -171,7 +171,7 @@
                 await self._back_off(str(error), retry_delay_ms)
                 retry_delay_ms = min(2 * retry_delay_ms, MAX_RETRY_DELAY_MS)
             except Exception as error:
-                # An unexpected error in one document must not stop the watch for good.
+                # An unexpected error must not stop the watch for good.
                 self.log("registry_fault", {"error": repr(error)[:300]}, True)
                 await self._back_off("fault", MAX_RETRY_DELAY_MS)
 
@@ -265,8 +265,10 @@
         except DocumentError as error:
             fields: dict[str, object] = {"revision": item.revision, "error": str(error)}
             self.log("configuration_unreadable", fields, True)
-            return
-        self.dispatch(ConfigurationReceived(self.clock.now_ms(), configuration))
+        except Exception as error:
+            self._log_document_fault(item, error)
+        else:
+            self.dispatch(ConfigurationReceived(self.clock.now_ms(), configuration))
 
     def _parse_entry(self, item: StoreItem) -> ServerEntry | None:
         server_id = item.key.removeprefix(SERVER_KEY_PREFIX)
@@ -275,4 +277,11 @@
         except DocumentError as error:
             fields: dict[str, object] = {"server": server_id, "error": str(error)[:120]}
             self.log("entry_unreadable", fields, False)
-            return None
+        except Exception as error:
+            self._log_document_fault(item, error)
+        return None
+
+    def _log_document_fault(self, item: StoreItem, error: Exception) -> None:
+        """Log an unexpected error in one document, which must not stop the read of the others."""
+        fields: dict[str, object] = {"key": item.key, "error": repr(error)[:300]}
+        self.log("document_fault", fields, True)
