Do not relay refusals that a server does not confirm

What callers saw: review/3. A server ran non-idempotent requests and answered some of them 503 without Not-Executed. The instance relayed the 503, which callers take as the promise that the request has not run.

Cause: not-run was decided by Not-Executed and 421 alone, so no second send took place, but an error answer without a retry was relayed whatever its status promised. The set of promising statuses was not used anywhere.

Ruled out: a refusal of our own (those bear no signature), a second send (one run each).

Change: the adapter marks an answer 408, 429 or 503 without Not-Executed. The core takes it as a failure that may have run: a retry for idempotent requests, 502 without a signature otherwise. The server counts as failing.

Why it works: the only path on which a server's own status reaches a caller is the relay, and it no longer accepts an answer with the mark.

The tests failed before: test_path.py on all three statuses (runs 1, expected 0), test_http_dialect.py.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,7 +17,7 @@
 DRAIN_S = 3.0
 # Longest watch of an instance. A silent connection is detected only when the watch times out.
 MAX_WATCH_S = 5.0
-SERVER_BEHAVIOURS = ("shed", "error", "truncate", "extra", "late_extra", "unframed_reset", "lost")
+SERVER_BEHAVIOURS = ("shed", "errors", "truncate", "extra", "late_extra", "unframed_reset", "lost")
 PROXY_MODES = ("delay", "silent", "cut_back", "refuse")
 STORE_MODES = ("busy", "silent", "reset")
 
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -14,6 +14,7 @@
 import json
 import random
 import time
+import zlib
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -24,6 +25,10 @@
         "ok",
         "shed",
         "error",
+        "error_408",
+        "error_429",
+        "error_503",
+        "errors",
         "truncate",
         "extra",
         "late_extra",
@@ -39,6 +44,9 @@
         "slow",
     }
 )
+# Answers after the request has run, without a header that says otherwise.
+STATUS_BY_BEHAVIOUR = {"error": 500, "error_408": 408, "error_429": 429, "error_503": 503}
+MIXED_ERRORS = "errors"  # any of these statuses, chosen by the request id
 SLOW_MS = 300.0
 RESTART_S = 0.3
 
@@ -207,8 +215,11 @@
         if self.delayed_answer:
             delayed, self.delayed_answer = self.delayed_answer, b""
             writer.write(delayed)
-        if behaviour == "error":
-            writer.write(_response(500, headers, b"failed"))
+        if behaviour == MIXED_ERRORS:
+            names = list(STATUS_BY_BEHAVIOUR)
+            behaviour = names[zlib.crc32(request_id.encode()) % len(names)]
+        if behaviour in STATUS_BY_BEHAVIOUR:
+            writer.write(_response(STATUS_BY_BEHAVIOUR[behaviour], headers, b"failed"))
         elif behaviour == "truncate":
             writer.write(response[:-10])
             return False
--- a/tests/forwarding/test_answers.py
+++ b/tests/forwarding/test_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tests.forwarding.driving import (
     NOT_RUN,
     good_answer,
@@ -11,7 +13,7 @@
 )
 from turmerictiller.errors import Ran, RefusalType
 from turmerictiller.forwarding.effects import RelayAnswer, SendMergedAnswer
-from turmerictiller.forwarding.events import FailureKind
+from turmerictiller.forwarding.events import FailureKind, UpstreamAnswer
 
 
 def test_search_is_sent_to_every_shard_once_and_merged() -> None:
@@ -77,11 +79,30 @@
     assert outcome.answer is failure
 
 
-def test_idempotent_request_is_retried_after_a_failure() -> None:
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_unconfirmed_refusal_of_a_server_is_not_relayed(idempotent: bool, status: int) -> None:
+    """Guards against a status that tells the caller of a request that has run that it has not."""
+    driver = single_service_driver(idempotent=idempotent)
+    call_id = driver.request("/one/x" if idempotent else "/once/x")
+    unconfirmed = UpstreamAnswer(status, b"sig", b"no", unconfirmed_refusal=True)
+    attempts = 2 if idempotent else 1
+    for number in range(attempts):
+        assert len(driver.sent(call_id)) == number + 1
+        driver.answer(driver.sent(call_id)[number], unconfirmed)
+    assert len(driver.sent(call_id)) == attempts
+    assert refusal_of(driver, call_id) == (RefusalType.UPSTREAM_FAILED, Ran.MAYBE)
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [good_answer(b"no", b"sig", 500), UpstreamAnswer(429, b"sig", b"", unconfirmed_refusal=True)],
+)
+def test_idempotent_request_is_retried_after_a_failure(failure: UpstreamAnswer) -> None:
     """Guards against failures of one server that reach callers."""
     driver = single_service_driver(idempotent=True)
     call_id = driver.request("/one/x")
-    driver.answer(driver.sent(call_id)[0], good_answer(b"no", b"sig", 500))
+    driver.answer(driver.sent(call_id)[0], failure)
     driver.answer(driver.sent(call_id)[1])
     outcome = driver.outcome(call_id)
     assert isinstance(outcome, RelayAnswer)
--- a/tests/platform/test_http_dialect.py
+++ b/tests/platform/test_http_dialect.py
@@ -62,6 +62,18 @@
     assert bool(answer.malformed_headers) is not leaving
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_refusal_without_confirmation_is_not_taken_as_not_run(status: int) -> None:
+    """Guards against a caller that repeats a request because a failed server answered 503."""
+    answer = parse(status)
+    assert isinstance(answer, UpstreamAnswer)
+    assert answer.unconfirmed_refusal
+    assert not answer.not_run
+    confirmed = parse(status, (b"Not-Executed", b"1"))
+    assert isinstance(confirmed, UpstreamAnswer)
+    assert not confirmed.unconfirmed_refusal
+
+
 def test_announcements_of_another_server_are_ignored() -> None:
     """Guards against a server that is taken out of service by the headers of another."""
     headers = (b"Server-Leaving", b"1"), (b"Retry-After", b"60")
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -110,10 +110,11 @@
 @pytest.mark.parametrize(
     "behaviour",
     ["truncate", "extra", "late_extra", "foreign_first", "unframed", "unframed_reset", "lost"]
-    + ["garbage", "encoded", "unsigned", "close", "shed", "error", "slow"],
+    + ["garbage", "encoded", "unsigned", "close", "shed", "error", "slow"]
+    + ["error_408", "error_429", "error_503"],
 )
 def test_invalid_answers_never_reach_a_caller(tmp_path: Path, behaviour: str) -> None:
-    """Guards against foreign, duplicate, truncated and unsigned answers that look valid."""
+    """Guards against answers that are not what they seem: foreign, cut, unsigned, or run after all."""
 
     async def scenario() -> None:
         async with deployment(tmp_path) as deployed:
--- a/turmerictiller/forwarding/answers.py
+++ b/turmerictiller/forwarding/answers.py
@@ -68,7 +68,7 @@
     times = route_times(state, attempt.route)
     is_good = 200 <= answer.status < 300 and bool(answer.signature)
     if server is not None:
-        if answer.status >= 500:
+        if answer.is_failure:
             observe_failure(state, server, f"status_{answer.status}")
         else:
             observe_answer(state, server, state.now - attempt.sent_at, times)
@@ -80,10 +80,11 @@
     if part.answer is not None or part.failure_reason:
         return
     part.attempt_ids.remove(attempt.id)
-    if is_good or not request.route.shards and not _is_retryable(request, answer):
+    if is_good or _is_final(request, answer):
         _accept_answer(state, request, part, attempt, answer)
     else:
-        _retry_or_fail_part(state, request, attempt, f"status_{answer.status}", answer)
+        relayable = None if answer.unconfirmed_refusal else answer
+        _retry_or_fail_part(state, request, attempt, f"status_{answer.status}", relayable)
 
 
 def on_attempt_failed(state: State, event: AttemptFailed) -> None:
@@ -147,8 +148,11 @@
         on_attempt_interrupted(state, server, attempt, request)
 
 
-def _is_retryable(request: Request, answer: UpstreamAnswer) -> bool:
-    return request.route.idempotent and answer.status >= 500
+def _is_final(request: Request, answer: UpstreamAnswer) -> bool:
+    """Return whether an answer that is not a success is relayed without a retry."""
+    if request.route.shards or answer.unconfirmed_refusal:
+        return False
+    return not (request.route.idempotent and answer.is_failure)
 
 
 def _accept_answer(
@@ -194,7 +198,10 @@
     answer: UpstreamAnswer | None,
     is_budget_exempt: bool = False,
 ) -> None:
-    """Retry a part after a lost attempt, or fail it when no retry and no other attempt is left."""
+    """Retry a part after a lost attempt, or fail it when no retry and no other attempt is left.
+
+    :param answer: the server's own error answer if it may be relayed to the caller.
+    """
     part = request.parts[attempt.part]
     request.is_unusual = True
     retried = _retry(state, request, attempt.part, is_budget_exempt)
--- a/turmerictiller/forwarding/events.py
+++ b/turmerictiller/forwarding/events.py
@@ -55,6 +55,8 @@
 
     :param signature: the server's signature of this answer; empty without one.
     :param not_run: whether the server reports that it has not run the request.
+    :param unconfirmed_refusal: whether callers would take the status as a promise that the request
+        has not run, which the server does not make.
     :param headers: headers that are passed on to the caller.
     :param leaving: whether the server announces its shutdown.
     :param pause_ms: time for which the server requests no further attempts from this instance;
@@ -72,6 +74,12 @@
     leaving: bool = False
     pause_ms: Millis | None = None
     malformed_headers: str = ""
+    unconfirmed_refusal: bool = False
+
+    @property
+    def is_failure(self) -> bool:
+        """Return whether the server failed the request."""
+        return self.status >= 500 or self.unconfirmed_refusal
 
 
 @dataclass(frozen=True, slots=True)
--- a/turmerictiller/platform/http_dialect.py
+++ b/turmerictiller/platform/http_dialect.py
@@ -32,7 +32,8 @@
 _SECONDS = re.compile(rb"\d+(\.\d*)?")
 _REPLACED_HEADERS = frozenset({BUDGET_HEADER, b"target-instance"})
 _REASON_BY_STATUS = {status.value: status.phrase.encode() for status in HTTPStatus}
-# Statuses that guarantee that the request has not run and will not run.
+# Statuses by which callers learn that the request has not run and will not run. A server guarantees
+# that only with the header, so its answer without the header is not passed on.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _STATUS_BY_REFUSAL = {RefusalType.QUARANTINED: 429}
 
@@ -108,6 +109,7 @@
         leaving,
         pause_ms,
         malformed,
+        unconfirmed_refusal=response.status in _NOT_RUN_STATUSES and not not_run,
     )
 
 
