Reject server entries whose ids cannot be sent in a header

Cause: the id of an entry is the rest of its key, which another writer chooses, and it was written into Target-Instance as it is. An id with CR LF added headers to the requests of callers; one outside Latin-1 raised UnicodeEncodeError when a request was sent.

Evidence: encode_attempt with the id "i\r\nX-Evil: 1" returned a head with the header X-Evil; with a Chinese character it raised.

Change: ids that are not visible ASCII make an entry invalid, as the ids of the platform are. Five cases of test_documents.py failed before.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -42,3 +42,10 @@
         parse_server_entry("i", 1, value)
     with pytest.raises(DocumentError):
         parse_configuration(value)
+
+
+@pytest.mark.parametrize("server_id", ["", "i j", "i\r\nHost: x", "i\x7f", "\u4e2d"])
+def test_id_that_is_no_header_value_is_reported_as_invalid(server_id: str) -> None:
+    """Guards against an id that adds headers to requests or cannot be encoded."""
+    with pytest.raises(DocumentError):
+        parse_server_entry(server_id, 1, entry_value())
--- a/turmerictiller/platform/documents.py
+++ b/turmerictiller/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 from typing import Annotated, Literal, TypeVar
 
 import msgspec
@@ -18,6 +19,8 @@
 )
 
 IDEMPOTENT_KIND = "idempotent"
+# Ids are sent to servers in a header, so they must not contain spaces or control characters.
+_SERVER_ID = re.compile(r"[!-~]+")
 
 T = TypeVar("T")
 
@@ -67,8 +70,10 @@
 def parse_server_entry(server_id: str, revision: int, value: bytes) -> ServerEntry:
     """Parse the entry of a server.
 
-    :raises DocumentError: if the value is invalid, since the store accepts any value.
+    :raises DocumentError: if the id or the value is invalid, since the store accepts any.
     """
+    if not _SERVER_ID.fullmatch(server_id):
+        raise DocumentError("the id is not visible ASCII text")
     entry = _decode(value, _ServerValue)
     try:
         _validate_address(entry.address)
