Reject server entries with integers beyond 64 bits

Another writer's entry with 10**400 slots, or with digits of another script as its port, was taken as a server.

Ruled out: ports out of range, which were rejected before.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from turmerictiller.platform.documents import (
     DocumentError,
@@ -44,8 +47,52 @@
         parse_configuration(value)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"slots": 10**400},
+        {"slots": 2**63},
+        {"born": 10**400},
+        {"warmupLeftMs": 10**400},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:-1"},
+        {"address": "10.0.0.1:" + "9" * 5_000},
+        {"address": "10.0.0.1:\uff18\uff10"},
+        {"address": "10.0.0.256:80"},
+        {"address": "80"},
+    ],
+)
+def test_value_out_of_range_is_reported_as_invalid(changes: dict[str, object]) -> None:
+    """Guards against a server with values that other code cannot represent or connect to."""
+    with pytest.raises(DocumentError):
+        parse_server_entry("i", 1, entry_value(**changes))
+
+
 @pytest.mark.parametrize("server_id", ["", "i j", "i\r\nHost: x", "i\x7f", "\u4e2d"])
 def test_id_that_is_no_header_value_is_reported_as_invalid(server_id: str) -> None:
     """Guards against an id that adds headers to requests or cannot be encoded."""
     with pytest.raises(DocumentError):
         parse_server_entry(server_id, 1, entry_value())
+
+
+@given(
+    st.binary(max_size=64)
+    | st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+        lambda items: st.lists(items) | st.dictionaries(st.sampled_from([*FIELDS, "x"]), items),
+    ).map(lambda document: json.dumps(document).encode())
+    | st.dictionaries(
+        st.sampled_from([*FIELDS, "born", "warmupLeftMs"]),
+        st.none() | st.integers(-(10**400), 10**400) | st.floats() | st.text(),
+    ).map(lambda changes: entry_value(**changes)),
+    st.text(max_size=8),
+)
+def test_any_value_is_parsed_or_reported_as_invalid(value: bytes, server_id: str) -> None:
+    """Guards against errors of the parser that callers of it do not expect."""
+    for parse in (
+        lambda: parse_server_entry(server_id, 1, value),
+        lambda: parse_configuration(value),
+    ):
+        with contextlib.suppress(DocumentError):
+            parse()
--- a/turmerictiller/platform/documents.py
+++ b/turmerictiller/platform/documents.py
@@ -19,13 +19,15 @@
 )
 
 IDEMPOTENT_KIND = "idempotent"
+# JSON does not limit integers. No count or time of a server is larger.
+MAX_INTEGER = 2**63 - 1
 # Ids are sent to servers in a header, so they must not contain spaces or control characters.
 _SERVER_ID = re.compile(r"[!-~]+")
 
 T = TypeVar("T")
 
 NonEmptyStr = Annotated[str, Meta(min_length=1)]
-PositiveInt = Annotated[int, Meta(ge=1)]
+PositiveInt = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
 PositiveFloat = Annotated[float, Meta(gt=0)]
 NonNegativeFloat = Annotated[float, Meta(ge=0)]
 UnitInterval = Annotated[float, Meta(ge=0, le=1)]
@@ -44,7 +46,7 @@
     # How much longer the server is slow after its start; not an indication that it is warming up.
     warmup_left_ms: NonNegativeFloat = field(default=0.0, name="warmupLeftMs")
     # Unix time of the server's start; used only to identify the incarnation.
-    born: int = 0
+    born: Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)] = 0
 
 
 def _decode(value: bytes, kind: type[T]) -> T:
@@ -62,9 +64,13 @@
 
 def _validate_address(value: str) -> None:
     host, _, port = value.rpartition(":")
-    ipaddress.IPv4Address(host)
-    if not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise ValueError(f"{value!r} is not of the form IP:PORT")
+    try:
+        ipaddress.IPv4Address(host)
+        is_valid = value.isascii() and port.isdecimal() and 0 < int(port) < 65_536
+    except ValueError:
+        is_valid = False
+    if not is_valid:
+        raise DocumentError(f"{value[:64]!r} is not of the form IP:PORT")
 
 
 def parse_server_entry(server_id: str, revision: int, value: bytes) -> ServerEntry:
@@ -75,10 +81,7 @@
     if not _SERVER_ID.fullmatch(server_id):
         raise DocumentError("the id is not visible ASCII text")
     entry = _decode(value, _ServerValue)
-    try:
-        _validate_address(entry.address)
-    except ValueError as error:
-        raise DocumentError(str(error)[:200]) from None
+    _validate_address(entry.address)
     return ServerEntry(
         server_id,
         revision,
