Ignore keys of the store that belong to no server

Cause: one watch covers all keys. Reads of the store took only servers/ and op/config from it, but kept every item and sent it to other instances, and merge_peer_documents parsed each key but op/config as a server.

An instance that learns from others would send requests to the address in such a value.

Evidence: test_keys_that_are_not_followed_are_ignored failed on all three ways; by another instance the event listed the server "tools/a".

Change: one predicate on the key guards all three ways in.

--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -213,24 +213,10 @@
 DEEPLY_NESTED = b'{"a":' * 2_000 + b"1" + b"}" * 2_000
 
 
-@pytest.mark.parametrize("read", ["watch", "list", "peer"])
-@pytest.mark.parametrize("is_expected_error", [True, False])
-def test_document_that_cannot_be_parsed_does_not_stop_the_others(
-    monkeypatch: pytest.MonkeyPatch, read: str, is_expected_error: bool
-) -> None:
-    """Guards against one foreign entry that ends the following of all servers."""
-    if not is_expected_error:
-
-        def parse(server_id: str, revision: int, value: bytes) -> ServerEntry:
-            if value == DEEPLY_NESTED:
-                raise RuntimeError("unexpected")
-            return parse_server_entry(server_id, revision, value)
-
-        monkeypatch.setattr("turmerictiller.platform.registry.parse_server_entry", parse)
+def offline_replica(events: list[Event], lines: list[str]) -> RegistryReplica:
+    """Return a replica that gets its items from the test, and collects events and log lines."""
     clock = Clock()
-    events: list[Event] = []
-    lines: list[str] = []
-    registry = RegistryReplica(
+    return RegistryReplica(
         ScriptedStore(clock),
         clock,
         300.0,
@@ -238,35 +224,66 @@
         events.append,
         lambda event, fields, urgent: lines.append(event),
     )
-    items = [StoreItem("servers/a", 6, DEEPLY_NESTED), StoreItem("servers/b", 7, ENTRY)]
+
+
+def deliver(registry: RegistryReplica, read: str, items: list[StoreItem]) -> None:
+    """Deliver items by a watch, a list or another instance."""
     if read == "watch":
         for item in items:
             registry._on_change(item)
     elif read == "list":
-        registry._on_list(7, items)
+        registry._on_list(items[-1].revision, items)
     else:
         registry.merge_peer_documents([Document(i.key, i.revision, i.value) for i in items])
-    received_ids = []
+
+
+def received_ids(events: list[Event]) -> list[str]:
+    """Return the ids of the servers in events that hold only entries."""
+    ids = []
     for event in events:
         assert isinstance(event, ServersListed | ServerEntryReceived)
         entries = event.entries if isinstance(event, ServersListed) else (event.entry,)
-        received_ids += [entry.id for entry in entries]
-    assert received_ids == ["b"]
+        ids += [entry.id for entry in entries]
+    return ids
+
+
+@pytest.mark.parametrize("read", ["watch", "list", "peer"])
+@pytest.mark.parametrize("is_expected_error", [True, False])
+def test_document_that_cannot_be_parsed_does_not_stop_the_others(
+    monkeypatch: pytest.MonkeyPatch, read: str, is_expected_error: bool
+) -> None:
+    """Guards against one foreign entry that ends the following of all servers."""
+    if not is_expected_error:
+
+        def parse(server_id: str, revision: int, value: bytes) -> ServerEntry:
+            if value == DEEPLY_NESTED:
+                raise RuntimeError("unexpected")
+            return parse_server_entry(server_id, revision, value)
+
+        monkeypatch.setattr("turmerictiller.platform.registry.parse_server_entry", parse)
+    events: list[Event] = []
+    lines: list[str] = []
+    items = [StoreItem("servers/a", 6, DEEPLY_NESTED), StoreItem("servers/b", 7, ENTRY)]
+    deliver(offline_replica(events, lines), read, items)
+    assert received_ids(events) == ["b"]
     assert lines == ["entry_unreadable" if is_expected_error else "document_fault"]
 
 
+@pytest.mark.parametrize("read", ["watch", "list", "peer"])
+def test_keys_that_are_not_followed_are_ignored(read: str) -> None:
+    """Guards against a value under another key that is used as a server or sent to instances."""
+    events: list[Event] = []
+    registry = offline_replica(events, [])
+    items = [StoreItem("tools/a", 6, ENTRY), StoreItem("servers/b", 7, ENTRY)]
+    deliver(registry, read, items)
+    assert received_ids(events) == ["b"]
+    assert [document.key for document in registry.documents()] == ["servers/b"]
+
+
 @pytest.mark.parametrize("read", ["watch", "list"])
 def test_outdated_read_does_not_revert_newer_peer_changes(read: str) -> None:
     """Guards against an instance that sends incomplete changes for the revision it reports."""
-    clock = Clock()
-    registry = RegistryReplica(
-        ScriptedStore(clock),
-        clock,
-        300.0,
-        lambda: ReadPlan.READER,
-        lambda event: None,
-        lambda event, fields, urgent: None,
-    )
+    registry = offline_replica([], [])
     registry._on_list(6, [StoreItem("servers/s1", 6, ENTRY)])
     removed, added = Document("servers/s1", 11, None), Document("servers/s9", 12, ENTRY)
     registry.merge_peer_changes([removed, added], 12, 0.0)
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -44,7 +44,7 @@
 MAX_WATCH_GAP_RATIO = 1 / 3
 QUIET_WATCH_MS = 1_000.0  # a watch that waited this long ends a series of changes
 MAX_TOMBSTONES = 256  # removed keys that are kept for other instances
-# The store holds only the keys of the operator and of the servers.
+# One watch covers the keys of the operator and of the servers.
 ALL_KEYS_PREFIX = ""
 # Watches of an instance that reads for others. They are short, to confirm that there are no newer
 # changes, and servers that change together are reported about once a second.
@@ -57,6 +57,11 @@
 MAX_RETRY_DELAY_MS = 500.0
 
 
+def _is_followed(key: str) -> bool:
+    """Return whether a key belongs to the configuration or to a server."""
+    return key == CONFIGURATION_KEY or key.startswith(SERVER_KEY_PREFIX)
+
+
 @dataclass
 class RegistryReplica:
     """One instance's replica of the store, fed by its own watch or by other instances.
@@ -108,7 +113,7 @@
         entries: list[ServerEntry] = []
         for document in documents:
             item = StoreItem(document.key, document.revision, document.value)
-            if not self._is_newer(item):
+            if not _is_followed(item.key) or not self._is_newer(item):
                 continue
             self._store_item(item)
             if item.key == CONFIGURATION_KEY:
@@ -216,16 +221,15 @@
     def _on_list(self, revision: int, items: list[StoreItem]) -> None:
         entries: list[ServerEntry] = []
         unreadable_ids: set[str] = set()
+        items = [item for item in items if _is_followed(item.key)]
         self._replace_items(revision, items)
         for item in items:
             if item.key == CONFIGURATION_KEY:
                 self._on_configuration(item)
-            elif item.key.startswith(SERVER_KEY_PREFIX):
-                entry = self._parse_entry(item)
-                if entry is None:
-                    unreadable_ids.add(item.key.removeprefix(SERVER_KEY_PREFIX))
-                else:
-                    entries.append(entry)
+            elif (entry := self._parse_entry(item)) is not None:
+                entries.append(entry)
+            else:
+                unreadable_ids.add(item.key.removeprefix(SERVER_KEY_PREFIX))
         now = self.clock.now_ms()
         self.dispatch(ServersListed(now, revision, tuple(entries), frozenset(unreadable_ids)))
 
@@ -246,16 +250,15 @@
                 )
 
     def _on_change(self, item: StoreItem) -> None:
-        if not self._is_newer(item):
+        if not _is_followed(item.key) or not self._is_newer(item):
             return
         self._store_item(item)
         if item.key == CONFIGURATION_KEY:
             self._on_configuration(item)
-        elif item.key.startswith(SERVER_KEY_PREFIX):
-            if item.value is None:
-                self._on_removed(item)
-            elif (entry := self._parse_entry(item)) is not None:
-                self.dispatch(ServerEntryReceived(self.clock.now_ms(), entry))
+        elif item.value is None:
+            self._on_removed(item)
+        elif (entry := self._parse_entry(item)) is not None:
+            self.dispatch(ServerEntryReceived(self.clock.now_ms(), entry))
 
     def _on_configuration(self, item: StoreItem) -> None:
         if item.value is None:
