Do not send unreadable values to other instances

Cause: the replica kept the value of each entry, readable or not, and sent it to instances that do not read the store. A value may have valueBytes (1 MiB), an exchange 4 MiB, and a machine's link as little as 10 Mbit/s, on which 1 MiB takes longer than EXCHANGE_TIMEOUT_MS.

The new test failed before on all three ways in.

Change: the replica keeps the key and revision of an unreadable entry without its value. Instances that get it take it as unreadable too, so removals and later values of the key are handled as before.

--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
 
+from tests.forwarding.driving import SETTINGS
 from turmerictiller.clock import Clock, Millis
 from turmerictiller.forwarding.events import (
     Event,
@@ -16,12 +18,19 @@
     ServerEntryRemoved,
     ServersListed,
 )
+from turmerictiller.forwarding.peers import build_gossip
 from turmerictiller.forwarding.readers import ReadPlan
+from turmerictiller.forwarding.state import new_state
 from turmerictiller.platform.documents import parse_server_entry
 from turmerictiller.platform.registry import MAX_TOMBSTONES, PLAN_CHECK_INTERVAL_MS, RegistryReplica
 from turmerictiller.platform.store import HistoryGoneError, StoreClient, StoreItem
 from turmerictiller.transport.http_client import ConnectionPool
-from turmerictiller.transport.peer_messages import Document
+from turmerictiller.transport.peer_messages import (
+    Document,
+    Documents,
+    decode_exchange,
+    encode_exchange,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -269,6 +278,22 @@
     assert lines == ["entry_unreadable" if is_expected_error else "document_fault"]
 
 
+@pytest.mark.parametrize("read", ["watch", "list", "peer"])
+def test_unreadable_value_is_not_sent_to_other_instances(read: str) -> None:
+    """Guards against exchanges that exceed their size or time limit because of a foreign value."""
+    registry, peer = offline_replica([], []), offline_replica([], [])
+    large = b"x" * 1_048_576
+    items = [StoreItem(f"servers/x{number}", 6 + number, large) for number in range(5)]
+    deliver(registry, read, [*items, StoreItem("servers/b", 20, ENTRY)])
+    state = new_state(replace(SETTINGS, peer_address="10.0.0.1:7740"))
+    message = encode_exchange(build_gossip(state), Documents(registry.documents()))
+    assert len(message) < 10_000
+    # The other instance still learns that the entry exists and cannot be read.
+    _, documents = decode_exchange(message)
+    peer.merge_peer_documents(documents.items)
+    assert peer.items_by_key.keys() == registry.items_by_key.keys()
+
+
 @pytest.mark.parametrize("read", ["watch", "list", "peer"])
 def test_keys_that_are_not_followed_are_ignored(read: str) -> None:
     """Guards against a value under another key that is used as a server or sent to instances."""
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -282,8 +282,14 @@
             self.log("entry_unreadable", fields, False)
         except Exception as error:
             self._log_document_fault(item, error)
+        self._drop_value(item)
         return None
 
+    def _drop_value(self, item: StoreItem) -> None:
+        """Drop the value of an unreadable entry, which would be sent to other instances."""
+        if self.items_by_key.get(item.key) is item:
+            self.items_by_key[item.key] = StoreItem(item.key, item.revision, b"")
+
     def _log_document_fault(self, item: StoreItem, error: Exception) -> None:
         """Log an unexpected error in one document, which must not stop the read of the others."""
         fields: dict[str, object] = {"key": item.key, "error": repr(error)[:300]}
