Keep the own interface's watch of the instance list alive

The task ended without a log line, and no change of the instance list was seen any more. The list is null until the platform has stored one, so an instance that started first was affected without any foreign writer.

The program of the deploy file does not use this client.

Change: rows with an incarnation that is neither text nor an integer are malformed like others; a list that is no list is a failed read; without a list nothing happens.

--- a/turmerictiller/borders/platform_client.py
+++ b/turmerictiller/borders/platform_client.py
@@ -114,9 +114,13 @@
         self._dispatch(NoteSeen(self._clock.now_ms(), "platform", answer.get("value")))
 
     def _on_instances(self, answer: dict[str, Any]) -> None:
-        rows = tuple(
-            row for item in answer.get("instances", []) if (row := parse_instance(item)) is not None
-        )
+        items = answer.get("instances")
+        if items is None:
+            return  # no list is stored yet
+        if not isinstance(items, list):
+            self._dispatch(PlatformFailed(self._clock.now_ms(), "no instance list"))
+            return
+        rows = tuple(row for item in items if (row := parse_instance(item)) is not None)
         self._dispatch(InstanceListSeen(self._clock.now_ms(), answer["revision"], rows))
 
 
@@ -131,5 +135,7 @@
             "state": "live" | "leaving" as state,
         }:
             incarnation = item.get("incarnation", "")
+            if isinstance(incarnation, bool) or not isinstance(incarnation, str | int):
+                return None
             return ListedInstance(id_, kind, address, domain, state == "leaving", str(incarnation))
     return None
