Answer requests in flight when a planned stop reaches its limit

What callers saw: nothing reported here; operators of similar systems report requests that were cut without an answer at the end of the grace period.

Cause: after a pause of the process, the deadlines of requests are put off by CATCH_UP_MS, but the timer of the limit is not. If the pause ended close to the limit or after it, the process stopped first and closed the connections of all requests in flight.

Evidence: the new test failed on both routes (no outcome, but Stop). Ruled out: requests without a pause, whose deadlines come 150 ms before the limit.

Why it works: the stop itself answers what is left, whatever kept the deadlines from doing so.

--- a/tests/forwarding/test_lifecycle.py
+++ b/tests/forwarding/test_lifecycle.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tests.forwarding.driving import Driver, configuration, gather_route, single_route
-from turmerictiller.errors import RefusalType
+from turmerictiller.errors import Ran, RefusalType
 from turmerictiller.forwarding.effects import CloseListeners, ReplyRefusal, SendMergedAnswer, Stop
-from turmerictiller.forwarding.events import CallersLeft, ShutdownRequested
+from turmerictiller.forwarding.events import CallersLeft, ShutdownRequested, Tick
+from turmerictiller.forwarding.lifecycle import END_MARGIN_MS
 from turmerictiller.phases import ProcessPhase
 
 
@@ -43,6 +46,23 @@
     assert len(driver.effects_of(Stop)) == 1
 
 
+@pytest.mark.parametrize("path", ["/once/x", "/all/x"])
+def test_request_in_flight_is_answered_at_the_limit_after_a_pause(path: str) -> None:
+    """Guards against a connection that ends without an answer after a pause of the process."""
+    driver = Driver().start(configuration(gather_route(), single_route(idempotent=False)))
+    driver.dispatch(ShutdownRequested(driver.now))
+    driver.wait(GRACE_S * 1_000 - 2_000)
+    call_id = driver.request(path, budget_ms=60_000)
+    # The deadline and the limit pass while the process does not run.
+    driver.now = driver.state.ends_at + END_MARGIN_MS - 50
+    effects = driver.dispatch(Tick(driver.now))
+    outcome = driver.outcome(call_id)
+    assert isinstance(outcome, ReplyRefusal)
+    assert outcome.refusal.ran is Ran.MAYBE
+    kinds = [type(effect) for effect in effects]
+    assert kinds.index(ReplyRefusal) < kinds.index(Stop)
+
+
 def test_non_idempotent_request_is_refused_shortly_before_the_end() -> None:
     """Guards against a non-idempotent request whose outcome stays unknown."""
     driver = draining_driver()
--- a/turmerictiller/forwarding/lifecycle.py
+++ b/turmerictiller/forwarding/lifecycle.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from turmerictiller.forwarding.completion import on_request_deadline
 from turmerictiller.forwarding.effects import CloseListeners, Stop, WriteLog
 from turmerictiller.forwarding.state import TimerKind
 from turmerictiller.phases import ProcessPhase, next_phase
@@ -58,7 +59,13 @@
 
 
 def _stop(state: State) -> None:
+    """Stop the process, with an answer to each request that is still in flight.
+
+    Deadlines end requests before the limit, but a pause of the process may delay them beyond it.
+    """
     if _transition(state, "stop"):
+        for call_id in list(state.requests_by_call):
+            on_request_deadline(state, call_id)
         state.out.append(Stop())
 
 
