Refuse requests that cannot end before the process stops

Cause: during a planned stop, idempotent requests were admitted until the process stopped, also in the last milliseconds and after their deadline. They were sent to a server and answered 504 almost at once.

What callers saw: a wait and a 504 where a refusal lets them go to another instance at once; the server's work was lost.

Ruled out: refusals outside a stop, where ends_at is infinite.

--- a/tests/forwarding/test_lifecycle.py
+++ b/tests/forwarding/test_lifecycle.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from tests.forwarding.driving import Driver, configuration, gather_route, single_route
+from tests.forwarding.driving import (
+    Driver,
+    configuration,
+    gather_route,
+    refusal_of,
+    single_route,
+)
 from turmerictiller.errors import Ran, RefusalType
 from turmerictiller.forwarding.effects import CloseListeners, ReplyRefusal, SendMergedAnswer, Stop
 from turmerictiller.forwarding.events import CallersLeft, ShutdownRequested, Tick
@@ -72,6 +78,19 @@
     assert outcome.refusal.type is RefusalType.SHUTTING_DOWN
 
 
+@pytest.mark.parametrize("path", ["/once/x", "/all/x"])
+def test_request_is_refused_when_the_time_left_is_shorter_than_its_target(path: str) -> None:
+    """Guards against requests that are sent to servers although they will be cut short."""
+    driver = Driver().start(
+        configuration(gather_route(target_ms=400), single_route(idempotent=False))
+    )
+    driver.dispatch(ShutdownRequested(driver.now))
+    driver.wait(driver.state.ends_at - driver.now - 390)
+    call_id = driver.request(path)
+    assert refusal_of(driver, call_id) == (RefusalType.SHUTTING_DOWN, Ran.NO)
+    assert driver.sent(call_id) == []
+
+
 def test_repeated_shutdown_request_has_no_effect() -> None:
     """Guards against a grace period that starts again."""
     driver = draining_driver()
--- a/turmerictiller/forwarding/admission.py
+++ b/turmerictiller/forwarding/admission.py
@@ -10,6 +10,7 @@
 from turmerictiller.phases import ProcessPhase
 
 if TYPE_CHECKING:
+    from turmerictiller.clock import Millis
     from turmerictiller.forwarding.events import RequestArrived
     from turmerictiller.forwarding.model import Route
     from turmerictiller.forwarding.state import State
@@ -39,13 +40,16 @@
     if len(state.requests_by_call) >= state.settings.max_requests:
         message = "too many requests are in flight"
         return Refusal(RefusalType.OVERLOADED, message, retry_after_ms=OVERLOADED_RETRY_MS)
-    if state.phase is ProcessPhase.STOPPED or (
-        not route.idempotent and state.ends_at - state.now < MIN_RUN_MS
-    ):
+    if state.phase is ProcessPhase.STOPPED or state.ends_at - state.now < _min_run_ms(route):
         return shutdown_refusal()
     return route
 
 
+def _min_run_ms(route: Route) -> Millis:
+    """Return the time that must be left before the end of the process to start a request."""
+    return route.target_ms if route.idempotent else max(MIN_RUN_MS, route.target_ms)
+
+
 def shutdown_refusal() -> Refusal:
     """Return the refusal of a request during shutdown."""
     message = "this instance is shutting down"
