Test answers that end at any byte

Other operators report clients that got a 200 with an empty or short body when a server stopped within the head of its answer. It does not happen here: the client takes an answer without a length as complete only if its head is complete, and the state is reset for each message.

The test ends answers at every byte, with a length, in chunks and delimited by the close, after an interim answer or none, on new and reused connections; each is a failure after which the request may have run. It passes on the state before as well, so this adds a guard and fixes nothing.

--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -184,6 +184,45 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("is_reused", [False, True])
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"])
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+def test_answer_that_ends_at_any_byte_is_a_failure(
+    framing: str, interim: bytes, is_reused: bool
+) -> None:
+    """Guards against a server that stops within a head, which looks like a whole empty answer."""
+    calls: list[int] = []
+
+    def answer(request_id: str) -> bytes:
+        whole = response(request_id)
+        if framing == "length":
+            return interim + whole[:-1]
+        head = whole[: whole.index(b"Content-Length")]
+        if framing == "chunked":
+            return interim + head + b"Transfer-Encoding: chunked\r\n\r\n4\r\nhits\r\n0\r\n\r"
+        # The end of the head makes an answer without a length complete.
+        return interim + head + b"\r"
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError):
+            if is_reused:
+                writer.write(response(await read_request(reader)))
+            request_id = await read_request(reader)
+            writer.write(answer(request_id)[: calls[-1]])
+        writer.close()
+
+    async def scenario() -> None:
+        async with serving(script) as (pool, address):
+            for length in range(len(answer("two")) + 1):
+                calls.append(length)
+                if is_reused:
+                    assert expect_body(await send_request(pool, address, "one")) == b"hits"
+                outcome = await send_request(pool, address, "two")
+                assert outcome == (FailureKind.CLOSED, True), answer("two")[:length]
+
+    uvloop.run(scenario())
+
+
 @pytest.mark.parametrize("is_reset", [False, True])
 def test_close_delimited_answer_is_complete_unless_reset(is_reset: bool) -> None:
     """Guards against a close-delimited answer that counts as complete despite a reset."""
