Answer a search at its deadline with the parts received

Cause: the parts received are sent once the target has passed, but the deadline refused a request whatever had been received. Callers with a budget below the target, such as in a second attempt, and requests at the end of a planned stop after a pause got 504 although enough parts were there.

Evidence: a search with a budget of 60 ms, a target of 100 ms and 3 of 4 parts (0.75 needed) was refused with deadline_passed. Both cases of the new test failed before. Ruled out: routes without shards, whose parts are never enough before they end.

Change: at the deadline the target counts as passed, and the usual decision is taken before a refusal.

--- a/tests/forwarding/test_completion.py
+++ b/tests/forwarding/test_completion.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tests.forwarding.driving import (
     refusal_of,
     sharded_driver,
@@ -9,7 +11,8 @@
 )
 from turmerictiller.errors import Ran, RefusalType
 from turmerictiller.forwarding.effects import CancelAttempt, SendMergedAnswer
-from turmerictiller.forwarding.events import CallerDisconnected
+from turmerictiller.forwarding.events import CallerDisconnected, ShutdownRequested, Tick
+from turmerictiller.forwarding.lifecycle import END_MARGIN_MS
 from turmerictiller.forwarding.overload import ANSWER_MARGIN_MS
 
 
@@ -75,6 +78,25 @@
     assert refusal_of(driver, call_id) == (RefusalType.DEADLINE_PASSED, Ran.MAYBE)
 
 
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_parts_received_by_a_deadline_before_the_target_are_sent(is_stopping: bool) -> None:
+    """Guards against a refusal although enough parts are there, because the target is later."""
+    driver = sharded_driver()
+    call_id = driver.request(budget_ms=60)
+    for sent in driver.sent(call_id)[:3]:
+        driver.answer(sent)
+    assert driver.outcome(call_id) is None
+    if is_stopping:
+        driver.dispatch(ShutdownRequested(driver.now))
+        driver.now = driver.state.ends_at + END_MARGIN_MS
+        driver.dispatch(Tick(driver.now))
+    else:
+        driver.wait(80)
+    outcome = driver.outcome(call_id)
+    assert isinstance(outcome, SendMergedAnswer)
+    assert outcome.missing == 1
+
+
 def test_attempts_of_a_disconnected_caller_are_cancelled_and_not_retried() -> None:
     """Guards against servers that run requests of disconnected callers."""
     driver = sharded_driver()
--- a/turmerictiller/forwarding/completion.py
+++ b/turmerictiller/forwarding/completion.py
@@ -57,10 +57,14 @@
 
 
 def on_request_deadline(state: State, call_id: int) -> None:
-    """Refuse a request whose deadline has passed."""
+    """Answer a request whose deadline has passed with the parts received, or refuse it."""
     request = state.requests_by_call.get(call_id)
     if request is None:
         return
+    # The budget of a caller may end before the target, and so may a pause or the process.
+    request.target_passed = True
+    if finish_if_decided(state, request):
+        return
     if not request.caller_disconnected:
         message = "the time of the request is over"
         refuse_request(state, request, Refusal(RefusalType.DEADLINE_PASSED, message, Ran.MAYBE))
