Require all fields of a server's entry

Another writer's entry that lacked fields was put over a live server's. The server was moved to the service that the entry named and ran requests of that service, which no configuration allows.

Cause: version and sequence were not read, and warmupLeftMs had a default, so the entry was valid.

Evidence: the new test failed for these three fields only.

Why it works: an incomplete entry is unreadable, and unreadable entries change no server.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -19,8 +19,11 @@
     "service": "a",
     "address": "10.0.0.1:9000",
     "zone": "z",
+    "version": "v1",
     "slots": 3,
     "state": "ready",
+    "warmupLeftMs": 0,
+    "sequence": 1,
 }
 NESTED = b'{"a":' * 2_000 + b"1" + b"}" * 2_000
 
@@ -69,6 +72,15 @@
         parse_server_entry("i", 1, entry_value(**changes))
 
 
+@pytest.mark.parametrize("name", FIELDS)
+def test_entry_that_lacks_a_field_is_reported_as_invalid(name: str) -> None:
+    """Guards against another writer's entry that moves a live server to another service."""
+    fields = {key: value for key, value in FIELDS.items() if key != name}
+    with pytest.raises(DocumentError):
+        parse_server_entry("i", 1, json.dumps(fields).encode())
+    assert parse_server_entry("i", 1, entry_value()).incarnation == 0
+
+
 @pytest.mark.parametrize("server_id", ["", "i j", "i\r\nHost: x", "i\x7f", "\u4e2d"])
 def test_id_that_is_no_header_value_is_reported_as_invalid(server_id: str) -> None:
     """Guards against an id that adds headers to requests or cannot be encoded."""
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -82,7 +82,10 @@
     assert lines == ["registry_fault"]
 
 
-ENTRY = b'{"service": "a", "address": "10.0.0.1:9000", "zone": "z", "slots": 3, "state": "ready"}'
+ENTRY = (
+    b'{"service": "a", "address": "10.0.0.1:9000", "zone": "z", "version": "v1", "slots": 3,'
+    b' "state": "ready", "warmupLeftMs": 0, "sequence": 1}'
+)
 
 
 class ScriptedStore(StoreClient):
--- a/turmerictiller/platform/documents.py
+++ b/turmerictiller/platform/documents.py
@@ -37,14 +37,18 @@
     """A value of the store is invalid."""
 
 
+# The fields without a default are in every entry that a server writes, so an entry that lacks one
+# comes from another writer, also if the field is not used here.
 class _ServerValue(Struct, frozen=True):
     service: NonEmptyStr
     address: NonEmptyStr
     zone: str
+    version: str
     slots: PositiveInt
     state: Literal["ready", "draining"]
     # How much longer the server is slow after its start; not an indication that it is warming up.
-    warmup_left_ms: NonNegativeFloat = field(default=0.0, name="warmupLeftMs")
+    warmup_left_ms: NonNegativeFloat = field(name="warmupLeftMs")
+    sequence: int
     # Unix time of the server's start; used only to identify the incarnation.
     born: Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)] = 0
 
