Replace silent connections to the store within contactMs

After connections to the store had gone silent, a configuration took effect up to 4.1 s after its acknowledgement, 3 s being allowed; 101 to 109 requests were run by the service of the older version.

Cause: only an overdue watch shows a silent connection. A watch of 4.5 s and 0.5 s for its answer exceed contactMs (4 s), from which the bounds hold again; the pause after a change adds up to 1 s. contactMs was not read.

Ruled out: instances that read for others, whose watches last 1.5 s.

Change: the length of a watch is limited so that detection, back-off and a list end within contactMs of the last answer on the connection. The soak allows 4 s, the stated bound, where it allowed 5 s.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,8 +15,8 @@
     from soak.deployment import Deployment
 
 DRAIN_S = 3.0
-# Longest watch of an instance. A silent connection is detected only when the watch times out.
-MAX_WATCH_S = 5.0
+# Recovery bound in the settings: other bounds hold again this long after connections went silent.
+RECOVERY_BOUND_S = 4.0
 SERVER_BEHAVIOURS = ("shed", "errors", "truncate", "extra", "late_extra", "unframed_reset", "lost")
 PROXY_MODES = ("delay", "silent", "cut_back", "refuse")
 STORE_MODES = ("busy", "silent", "reset")
@@ -172,7 +172,7 @@
     for proxy in run.rng.sample(run.store_proxies, run.rng.randint(1, len(run.store_proxies))):
         proxy.silence_open()
     now = time.time()
-    run.store_faults.append((now, now + MAX_WATCH_S))
+    run.store_faults.append((now, now + RECOVERY_BOUND_S))
 
 
 # A seed reproduces its faults only with the list that it was run with. Seeds up to 306 were run
--- a/tests/platform/serving.py
+++ b/tests/platform/serving.py
@@ -42,6 +42,7 @@
 budgetRatio = 0.2
 budgetWindowS = 10
 budgetSlack = {slack}
+contactMs = 4000
 [platform]
 address = "127.0.0.1:{store}"
 """
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -23,7 +23,13 @@
 from turmerictiller.forwarding.state import new_state
 from turmerictiller.platform.documents import parse_server_entry
 from turmerictiller.platform.registry import MAX_TOMBSTONES, PLAN_CHECK_INTERVAL_MS, RegistryReplica
-from turmerictiller.platform.store import HistoryGoneError, StoreClient, StoreItem
+from turmerictiller.platform.store import (
+    WATCH_TIMEOUT_MARGIN_MS,
+    HistoryGoneError,
+    StoreClient,
+    StoreError,
+    StoreItem,
+)
 from turmerictiller.transport.http_client import ConnectionPool
 from turmerictiller.transport.peer_messages import (
     Document,
@@ -69,7 +75,7 @@
             lines.append(event)
 
         registry = RegistryReplica(
-            store, clock, 3_000.0, lambda: ReadPlan.DIRECT, events.append, log
+            store, clock, 3_000.0, 4_000.0, lambda: ReadPlan.DIRECT, events.append, log
         )
         registry.start()
         async with asyncio.timeout(3):
@@ -144,7 +150,7 @@
         store = ScriptedStore(clock)
         events: list[Event] = []
         registry = RegistryReplica(
-            store, clock, 300.0, plan, events.append, lambda event, fields, urgent: None
+            store, clock, 300.0, 4_000.0, plan, events.append, lambda event, fields, urgent: None
         )
         store.put("servers/s1", ENTRY)
         registry.start()
@@ -177,6 +183,62 @@
     run_replica(scenario)
 
 
+class SilentStore(ScriptedStore):
+    """A store whose open connection goes silent at once after an answer; new ones work."""
+
+    silent_since: Millis | None = None
+    restored_after_ms: Millis = 0.0
+
+    async def read_all(self, prefix: str) -> tuple[int, list[StoreItem]]:
+        if self.silent_since is not None:
+            self.restored_after_ms = self.clock.now_ms() - self.silent_since
+            self.silent_since = None
+        return await super().read_all(prefix)
+
+    async def watch(
+        self, prefix: str, revision: int, wait_ms: Millis
+    ) -> tuple[int, list[StoreItem]]:
+        if self.silent_since is None:
+            return await super().watch(prefix, revision, wait_ms)
+        await asyncio.sleep((wait_ms + WATCH_TIMEOUT_MARGIN_MS) / 1000)
+        raise StoreError("timed_out")
+
+
+@pytest.mark.parametrize("has_change", [False, True])
+def test_silent_connection_is_replaced_within_the_recovery_bound(has_change: bool) -> None:
+    """Guards against changes that take effect too late because a watch waits on a dead connection.
+
+    A change is followed by a pause, in which the connection may fail as well.
+    """
+    propagation_bound_ms, recovery_bound_ms = 1_500.0, 2_000.0
+
+    async def scenario() -> float:
+        clock = Clock()
+        store = SilentStore(clock)
+        registry = RegistryReplica(
+            store,
+            clock,
+            propagation_bound_ms,
+            recovery_bound_ms,
+            lambda: ReadPlan.DIRECT,
+            lambda event: None,
+            lambda event, fields, urgent: None,
+        )
+        registry.start()
+        await wait_for_current_revision(registry, store)
+        if has_change:
+            store.put("servers/s1", ENTRY)
+            await wait_for_current_revision(registry, store)
+        store.silent_since = clock.now_ms()
+        async with asyncio.timeout(5):
+            while store.silent_since is not None:
+                await asyncio.sleep(0.01)
+        registry.close()
+        return store.restored_after_ms
+
+    assert asyncio.run(scenario()) < recovery_bound_ms
+
+
 def test_incomplete_changes_are_not_returned() -> None:
     """Guards against an instance that is considered up to date though it missed a removal."""
 
@@ -232,6 +294,7 @@
         ScriptedStore(clock),
         clock,
         300.0,
+        4_000.0,
         lambda: ReadPlan.READER,
         events.append,
         lambda event, fields, urgent: lines.append(event),
--- a/turmerictiller/platform/application.py
+++ b/turmerictiller/platform/application.py
@@ -60,6 +60,7 @@
             store,
             self.clock,
             node.bounds.registry_bound_ms,
+            node.bounds.contact_ms,
             lambda: read_plan(self.shell.state, self.clock.now_ms()),
             self.shell.dispatch,
             self.shell.log.write,
--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -17,7 +17,12 @@
 )
 from turmerictiller.forwarding.readers import ReadPlan
 from turmerictiller.platform.documents import DocumentError, parse_configuration, parse_server_entry
-from turmerictiller.platform.store import HistoryGoneError, StoreError, StoreItem
+from turmerictiller.platform.store import (
+    WATCH_TIMEOUT_MARGIN_MS,
+    HistoryGoneError,
+    StoreError,
+    StoreItem,
+)
 from turmerictiller.transport.peer_messages import Document
 
 if TYPE_CHECKING:
@@ -33,10 +38,13 @@
 # A watch delivers every change or fails. The list read at this interval therefore only limits how
 # long the replica is wrong after a fault of the store.
 RELIST_INTERVAL_MS = 30_000.0
-# Calls to the store are charged, so watches are long. An overdue watch is the only sign that a
-# connection has failed silently. The platform's bounds start four seconds or more after such a
-# failure, and 1.5 times the bound leaves time to reconnect and list.
+# Calls to the store are charged, so watches are long.
 WATCH_TIMEOUT_RATIO = 1.5
+# An overdue watch is the only sign that its connection has failed silently. Bounds hold again when
+# the platform's recovery bound has passed since then. This part of it is left to notice the
+# failure, back off, and list the changes from a slow store.
+RECONNECT_MS = WATCH_TIMEOUT_MARGIN_MS + 350.0
+MIN_WATCH_MS = 500.0
 # Servers that change together would end a watch one by one. A watch that returned changes is
 # therefore followed by a pause, which doubles while changes continue. Both limits are relative to
 # the time that the platform allows for acting on a change.
@@ -67,6 +75,8 @@
     """One instance's replica of the store, fed by its own watch or by other instances.
 
     :param propagation_bound_ms: time within which a change must take effect.
+    :param recovery_bound_ms: time after a silent failure of a connection from which changes must
+        take effect again.
     :param get_read_plan: returns whether this instance reads the store or relies on others.
     :param dispatch: receives the changes as events.
     :param log: writes a log line; takes its name, its fields and whether it is urgent.
@@ -77,6 +87,7 @@
     store: StoreClient
     clock: Clock
     propagation_bound_ms: Millis
+    recovery_bound_ms: Millis
     get_read_plan: Callable[[], ReadPlan]
     dispatch: Callable[[Event], None]
     log: Callable[[str, dict[str, object], bool], None]
@@ -195,6 +206,7 @@
         max_gap_ms = MAX_WATCH_GAP_RATIO * self.propagation_bound_ms
         # Start with the longest pause: servers that start with this instance register one by one.
         gap_ms = max_gap_ms
+        answered_at = listed_at
         while (requested_at := self.clock.now_ms()) - listed_at < RELIST_INTERVAL_MS:
             plan = self.get_read_plan()
             if plan is ReadPlan.FOLLOWER:
@@ -202,15 +214,11 @@
                 listed_at += PLAN_CHECK_INTERVAL_MS
                 await asyncio.sleep(PLAN_CHECK_INTERVAL_MS / 1000)
                 continue
-            wait_ms = (
-                WATCH_TIMEOUT_RATIO * self.propagation_bound_ms
-                if plan is ReadPlan.DIRECT
-                else READER_WATCH_MS
-            )
+            wait_ms = self._watch_ms(plan, requested_at - answered_at)
             revision, items = await self.store.watch(ALL_KEYS_PREFIX, self.revision, wait_ms)
             for item in items:
                 self._on_change(item)
-            now = self.clock.now_ms()
+            now = answered_at = self.clock.now_ms()
             self._advance_revision(revision, max(requested_at, now - SLOW_RESPONSE_MS))
             if now - requested_at >= QUIET_WATCH_MS or plan is ReadPlan.READER:
                 gap_ms = MIN_WATCH_GAP_RATIO * self.propagation_bound_ms
@@ -218,6 +226,19 @@
                 await asyncio.sleep(gap_ms / 1000)
                 gap_ms = min(2 * gap_ms, max_gap_ms)
 
+    def _watch_ms(self, plan: ReadPlan, idle_ms: Millis) -> Millis:
+        """Return the length of the next watch on a connection that was idle for some time.
+
+        The connection may have failed at any time since its last answer.
+        """
+        usual_ms = (
+            WATCH_TIMEOUT_RATIO * self.propagation_bound_ms
+            if plan is ReadPlan.DIRECT
+            else READER_WATCH_MS
+        )
+        limit_ms = self.recovery_bound_ms - RECONNECT_MS - idle_ms
+        return min(usual_ms, max(MIN_WATCH_MS, limit_ms))
+
     def _on_list(self, revision: int, items: list[StoreItem]) -> None:
         entries: list[ServerEntry] = []
         unreadable_ids: set[str] = set()
--- a/turmerictiller/platform/settings.py
+++ b/turmerictiller/platform/settings.py
@@ -45,6 +45,8 @@
     extra_ratio: NonNegativeFloat = field(name="budgetRatio")
     extra_window_s: PositiveFloat = field(name="budgetWindowS")
     extra_slack: NonNegativeFloat = field(name="budgetSlack")
+    # Time after a disturbance of an instance from which the other bounds hold for it again.
+    contact_ms: PositiveFloat = field(name="contactMs")
 
     @property
     def registry_bound_ms(self) -> float:
