--- a/turmerictiller/platform/documents.py
+++ b/turmerictiller/platform/documents.py
@@ -38,7 +38,7 @@
 
 
 # The fields without a default are in every entry that a server writes, so an entry that lacks one
-# comes from another writer, also if the field is not used here.
+# comes from another writer, even if the field is not used here.
 class _ServerValue(Struct, frozen=True):
     service: NonEmptyStr
     address: NonEmptyStr
