Answer pipelined requests before a connection is closed in a stop

Cause: the listener keeps a connection open while requests that were read from it wait, but the shell closed it after the first answer whenever the instance was not ready: during a planned stop or while it was partitioned.

What callers saw: the second and later of several pipelined requests ended without an answer, though they had been read. They had not been sent on.

Evidence: test_requests_of_a_planned_stop_are_answered failed with an empty connection at the second of three pipelined requests.

Change: must_close takes whether the instance is ready, so one rule decides.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -11,13 +11,16 @@
 
 from standins.shard_server import RECORD_BYTES
 from standins.store import encode_value
-from tests.platform.serving import SHARDS, configuration, deployment, second_instance
+from tests.platform.serving import HOST, SHARDS, configuration, deployment, second_instance
+from turmerictiller.forwarding.events import ShutdownRequested
 
 if TYPE_CHECKING:
     from pathlib import Path
 
     from standins.shard_server import ShardServer
-    from tests.platform.serving import Answer, Deployment
+    from tests.platform.serving import Answer, Caller, Deployment
+
+ONE_PATHS = ("/one/x", "/once/x")  # idempotent and not
 
 
 def check_merged(answer: Answer, deployed: Deployment, path: str, request_id: str) -> int:
@@ -166,6 +169,44 @@
     asyncio.run(scenario())
 
 
+def test_requests_of_a_planned_stop_are_answered(tmp_path: Path) -> None:
+    """Guards against requests that are read late or pipelined and get no answer in a stop."""
+
+    async def scenario() -> None:
+        document = configuration()
+        document["limits"]["headerTimeoutMs"] = 4_000
+        async with deployment(tmp_path, grace_s=4, document=document) as deployed:
+            late_at_s = (0.5, 1.5, 2.5, 2.9, 3.3, 3.6)
+            late = [(await deployed.caller(), at, path) for at in late_at_s for path in ONE_PATHS]
+            pipelined = await deployed.caller()
+            for server in deployed.servers_of("a"):
+                server.work_ms = 100
+            for number in range(3):
+                pipelined.write("/one/x", request_id=f"p{number}")
+            loop = asyncio.get_running_loop()
+            stopped_at = loop.time()
+            deployed.instance.shell.dispatch(ShutdownRequested(deployed.instance.clock.now_ms()))
+            assert [(await pipelined.read()).status for _ in range(3)] == [200] * 3
+
+            async def send_slowly(caller: Caller, at_s: float, path: str) -> int:
+                """Send half of the head at once, so that the connection is in use."""
+                request_id = f"{path}{at_s}"
+                head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+                caller.writer.write(head.encode())
+                await asyncio.sleep(stopped_at + at_s - loop.time())
+                caller.writer.write(b"Deadline-Ms: 9000\r\nContent-Length: 3\r\n\r\njob")
+                answer = await asyncio.wait_for(caller.read(), 5)
+                runs = sum(server.ran[request_id] for server in deployed.servers_of("a"))
+                assert runs == 0 if answer.status == 503 else runs <= 1
+                return answer.status
+
+            statuses = await asyncio.gather(*(send_slowly(*item) for item in late))
+            assert set(statuses) == {200, 503}
+            assert statuses[: 2 * len(ONE_PATHS)] == [200] * 2 * len(ONE_PATHS)
+
+    asyncio.run(scenario())
+
+
 def test_configuration_changes_and_leaving_servers_are_applied(tmp_path: Path) -> None:
     """Guards against a configuration or a server that is used after it was replaced or removed."""
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -51,7 +51,7 @@
         """Answer all unanswered requests."""
         pending, self.pending = self.pending, []
         for connection, request in pending:
-            close = connection.must_close
+            close = connection.must_close(is_ready=True)
             connection.answer(encode_response(200, b"OK", [], request.target, close), close)
 
 
--- a/turmerictiller/transport/http_server.py
+++ b/turmerictiller/transport/http_server.py
@@ -223,10 +223,15 @@
 
     # Interface for request handlers
 
-    @property
-    def must_close(self) -> bool:
-        """Whether the connection must be closed after the next answer."""
-        return (self._close_after_answer or self.listener.draining) and not self._pending
+    def must_close(self, is_ready: bool) -> bool:
+        """Return whether the connection must be closed after the next answer.
+
+        Requests that were read already are answered first.
+
+        :param is_ready: whether the instance accepts further requests on the connection.
+        """
+        is_last = self._close_after_answer or self.listener.draining or not is_ready
+        return is_last and not self._pending
 
     def answer(self, data: bytes, close: bool) -> None:
         """Send the answer to the current request.
--- a/turmerictiller/transport/shell.py
+++ b/turmerictiller/transport/shell.py
@@ -186,7 +186,7 @@
         call = self._calls_by_id.pop(call_id, None)
         if call is None:
             return
-        close = call.connection.must_close or not self.is_ready
+        close = call.connection.must_close(self.is_ready)
         self.metrics.observe_answer(self.clock.now_ms() - call.arrived_at)
         call.connection.answer(write(call, close), close)
 
