--- a/turmerictiller/forwarding/state.py
+++ b/turmerictiller/forwarding/state.py
@@ -291,7 +291,6 @@
 class State:
     """Complete state of one instance.
 
-    :param started_at: when the process started; long ago unless the shell sets it.
     :param ends_at: when all requests must have ended because of a shutdown.
     :param own_incarnation: random identifier of this start of the instance.
     :param slow_share: moving average of the share of slow answers.
@@ -309,7 +308,6 @@
     settings: ForwardingSettings
     rng: random.Random
     now: Millis = 0.0
-    started_at: Millis = float("-inf")
     phase: ProcessPhase = ProcessPhase.STARTING
     ends_at: Millis = float("inf")
     configuration: Configuration | None = None
--- a/turmerictiller/transport/shell.py
+++ b/turmerictiller/transport/shell.py
@@ -64,7 +64,6 @@
 
     def __post_init__(self) -> None:
         self.state = new_state(self.settings)
-        self.state.started_at = self.clock.now_ms()
         self.log = DecisionLog(self.clock, self.settings.instance_id)
         self.counters: Counter[str] = Counter()
         self.metrics = ProcessMetrics(self.state, self.log, self.counters)
