--- a/tests/forwarding/test_budgets.py
+++ b/tests/forwarding/test_budgets.py
@@ -54,6 +54,23 @@
         assert least <= count.value(now) <= most
 
 
+def test_restarted_instances_use_the_fixed_budget_once_in_a_window() -> None:
+    """Guards against restarts that each grant an instance its share of the budget again."""
+    now, used_at = 0.0, []
+    state = new_state(SETTINGS)
+    while now < 3 * WINDOW_MS:
+        state.now = now
+        if charge_extra_attempt(state, service_state(state, "a")):
+            used_at.append(now)
+        now += 100.0
+        if now % 2_000 == 0 and now < WINDOW_MS:
+            state = new_state(SETTINGS)
+    assert used_at[-1] > WINDOW_MS
+    for end in used_at:
+        in_window = sum(end - WINDOW_MS < at <= end for at in used_at)
+        assert in_window <= SLACK / DEFAULT_INSTANCES
+
+
 def test_instances_together_stay_within_the_fixed_budget() -> None:
     """Guards against instances that each use the whole fixed part of the budget."""
     allowed = 0
