Log how much of an answer had arrived when a read or an exchange failed

The logs told that reads of the store and exchanges timed out, but not whether the other side was silent or its data was cut off. store_read_failed and exchange_timed_out tell the bytes received, and the counter exchanges.reply_bytes which instances carry the load of the others. No change of decisions.

--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -184,6 +184,8 @@
             except HistoryGoneError:
                 self.log("history_gone", {}, True)
             except StoreError as error:
+                failure = {"reason": str(error), "received_bytes": error.received_bytes}
+                self.log("store_read_failed", failure, False)
                 await self._back_off(str(error), retry_delay_ms)
                 retry_delay_ms = min(2 * retry_delay_ms, MAX_RETRY_DELAY_MS)
             except Exception as error:
--- a/turmerictiller/platform/store.py
+++ b/turmerictiller/platform/store.py
@@ -27,7 +27,14 @@
 
 
 class StoreError(TurmericError):
-    """A read of the store failed."""
+    """A read of the store failed.
+
+    :param received_bytes: bytes of the answer that had been received.
+    """
+
+    def __init__(self, reason: str, received_bytes: int = 0) -> None:
+        super().__init__(reason)
+        self.received_bytes = received_bytes
 
 
 class HistoryGoneError(StoreError):
@@ -113,7 +120,7 @@
 
         def on_failure(failure: Any, may_have_run: bool) -> None:
             if not future.done():
-                future.set_exception(StoreError(failure.value))
+                future.set_exception(StoreError(failure.value, exchange.received_bytes))
 
         def on_response(response: RawResponse) -> None:
             if not future.done():
@@ -128,7 +135,7 @@
             async with timeout_excluding_pauses(timeout_ms):
                 return await future
         except TimeoutError:
-            raise StoreError("timed_out") from None
+            raise StoreError("timed_out", exchange.received_bytes) from None
         finally:
             if not exchange.ended:
                 self.pool.cancel(exchange)
--- a/turmerictiller/transport/http_client.py
+++ b/turmerictiller/transport/http_client.py
@@ -60,6 +60,7 @@
         reset it.
     :param may_send: returns whether the server still accepts the request; called once a new
         connection is open.
+    :param received_bytes: bytes received so far, including those of other responses.
     """
 
     data: bytes
@@ -70,6 +71,7 @@
     may_send: Callable[[], bool] = lambda: True
     connection: ClientConnection | None = None
     opening_task: asyncio.Task[None] | None = None
+    received_bytes: int = 0
     ended: bool = False
 
 
@@ -129,6 +131,7 @@
             self.abort()
             return
         self._received_bytes += len(data)
+        self.exchange.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
             self._check_framing()
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -103,6 +103,8 @@
     def _cancel_if_pending(self, exchange: HttpExchange) -> None:
         if not exchange.ended:
             self.shell.counters["exchanges.timed_out"] += 1
+            fields = {"received_bytes": exchange.received_bytes}
+            self.shell.log.write("exchange_timed_out", fields)
             self.pool.cancel(exchange)
 
     def _on_failure(self, failure: object, may_have_run: bool) -> None:
@@ -121,6 +123,7 @@
             connection.answer(encode_response(400, b"Bad Request", [], b"", True), True)
             return
         body = encode_exchange(answer, self._missing_documents(message))
+        self.shell.counters["exchanges.reply_bytes"] += len(body)
         connection.answer(encode_response(200, b"OK", [], body, False), False)
 
     def _receive(self, body: bytes, sent_at: Millis | None = None) -> GossipMessage | None:
