--- /dev/null
+++ b/tests/transport/test_peer_link.py
@@ -0,0 +1,158 @@
+"""Tests of exchanges between instances whose links are small."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import os
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import orjson
+
+from tests.platform.serving import configuration, free_ports
+from tests.slow_link import SlowLink
+from turmerictiller.clock import Clock
+from turmerictiller.forwarding.effects import SendGossip
+from turmerictiller.forwarding.peers import GOSSIP_INTERVAL_MS, build_gossip
+from turmerictiller.forwarding.readers import ReadPlan
+from turmerictiller.forwarding.settings import ForwardingSettings
+from turmerictiller.platform.http_dialect import DIALECT
+from turmerictiller.platform.registry import CONFIGURATION_KEY, RegistryReplica
+from turmerictiller.platform.store import StoreClient, StoreItem
+from turmerictiller.transport.http_client import ConnectionPool
+from turmerictiller.transport.peer_link import PeerLink
+from turmerictiller.transport.shell import ForwardingShell
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MAX_VALUE_BYTES = 1_048_576  # largest value that the platform stores
+LINK_BYTES_PER_S = 625_000  # 5 Mbit/s, the smallest link of a deployment
+PROPAGATION_BOUND_MS = 5_000.0
+
+
+@dataclass
+class Instance:
+    """The parts of an instance that exchange documents."""
+
+    shell: ForwardingShell
+    registry: RegistryReplica
+    peers: PeerLink
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force."""
+        configuration = self.shell.state.configuration
+        return configuration.version if configuration is not None else 0
+
+    def read_configuration(self, version: int, value: bytes) -> None:
+        """Store a configuration as if it had been read from the platform's store."""
+        self.registry._on_list(version, [StoreItem(CONFIGURATION_KEY, version, value)])
+
+    def exchange_with(self, address: str) -> None:
+        """Start an exchange with the instance at an address."""
+        self.peers.send_exchange(SendGossip(address, build_gossip(self.shell.state)))
+
+
+def large_configuration(version: int) -> bytes:
+    """Return a configuration of the largest size, which hardly compresses."""
+    document = configuration(version)
+    padding = MAX_VALUE_BYTES - len(orjson.dumps(document)) - 100
+    document["padding"] = base64.b64encode(os.urandom(padding * 3 // 4)).decode()
+    return orjson.dumps(document)
+
+
+def new_instance(name: str, address: str) -> Instance:
+    """Return an instance that does not read the store."""
+    clock = Clock()
+    settings = ForwardingSettings(name, "north", peer_address=address)
+    shell = ForwardingShell(settings, DIALECT, clock, max_connections=16)
+    registry = RegistryReplica(
+        StoreClient("127.0.0.1:1", ConnectionPool(clock), clock),
+        clock,
+        PROPAGATION_BOUND_MS,
+        PROPAGATION_BOUND_MS,
+        lambda: ReadPlan.FOLLOWER,
+        shell.dispatch,
+        shell.log.write,
+    )
+    return Instance(shell, registry, PeerLink(shell, registry))
+
+
+@dataclass
+class Fleet:
+    """One instance that is behind, others that are up to date, and the link to the former.
+
+    :param addresses: addresses at which the replies of the others pass the link.
+    """
+
+    late: Instance
+    current: list[Instance]
+    addresses: list[str]
+
+
+@asynccontextmanager
+async def fleet(current: int, value: bytes) -> AsyncIterator[Fleet]:
+    """Run a fleet in which some instances have version 2, and one has version 1."""
+    link = SlowLink(LINK_BYTES_PER_S)
+    ports = free_ports(current + 1)
+    instances = [new_instance(f"e{port}", f"127.0.0.1:{port}") for port in ports]
+    late, *others = instances
+    proxies: list[asyncio.Server] = []
+
+    async def open_proxy(port: int) -> str:
+        async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            peer_reader, peer_writer = await asyncio.open_connection("127.0.0.1", port)
+            replies = asyncio.create_task(link.relay(peer_reader, writer))
+            try:
+                while data := await reader.read(65_536):
+                    peer_writer.write(data)
+            except ConnectionError:
+                pass
+            finally:
+                replies.cancel()
+                writer.close()
+                peer_writer.close()
+
+        proxies.append(await asyncio.start_server(relay, "127.0.0.1", 0))
+        return f"127.0.0.1:{proxies[-1].sockets[0].getsockname()[1]}"
+
+    for instance in instances:
+        await instance.peers.listener.open(instance.shell.settings.peer_address)
+    addresses = [await open_proxy(port) for port in ports[1:]]
+    late.read_configuration(1, orjson.dumps(configuration(1)))
+    for instance in others:
+        instance.read_configuration(2, value)
+    try:
+        yield Fleet(late, others, addresses)
+    finally:
+        for instance in instances:
+            instance.peers.close()
+            instance.shell.close()
+        for proxy in proxies:
+            proxy.close()
+        await asyncio.sleep(0.05)  # lets the proxies close their connections
+
+
+async def wait_for_version(found: Fleet, exchanges: int) -> None:
+    """Start exchanges in each interval until the late instance has version 2."""
+    async with asyncio.timeout(PROPAGATION_BOUND_MS / 1000):
+        while True:
+            for address in found.addresses[:exchanges]:
+                found.late.exchange_with(address)
+            for _ in range(10):
+                await asyncio.sleep(GOSSIP_INTERVAL_MS / 10_000)
+                if found.late.version == 2:
+                    return
+
+
+def test_largest_configuration_arrives_over_a_slow_link() -> None:
+    """Guards against an instance that stays behind because each exchange is cut off."""
+
+    async def scenario() -> None:
+        async with fleet(1, large_configuration(2)) as found:
+            await wait_for_version(found, exchanges=1)
+
+    asyncio.run(scenario())
