Give up reads of the store and exchanges when they stall, not when they take long

Cause: limits on the total time of a transfer (1,000 ms for a read of the store, 500 ms beyond a watch, 800 ms for an exchange). As soon as two transfers shared the link, none ended: each was cut off, thrown away and started again. The class of fault: a limit on total time where the size of the answer is not bounded accordingly, with retries from the first byte.

Ruled out: processor time (at most 9% of a machine, no process_paused), and a store that fails (no call was refused).

Change: a read or an exchange is given up if its answer does not begin in time, as before, or if less than 16 KiB of it arrive in a second. A connection that goes silent within an answer is noticed in two seconds at most. Pauses of the process do not count in exchanges either now.

--- a/turmerictiller/platform/store.py
+++ b/turmerictiller/platform/store.py
@@ -13,14 +13,15 @@
 
 from turmerictiller.errors import TurmericError
 from turmerictiller.transport.http_client import HttpExchange
-from turmerictiller.transport.timeouts import timeout_excluding_pauses
+from turmerictiller.transport.stalls import call_on_stall
 
 if TYPE_CHECKING:
     from turmerictiller.clock import Clock, Millis
     from turmerictiller.transport.http_client import ConnectionPool
     from turmerictiller.transport.messages import RawResponse
 
-# The store normally answers in 4 ms, and takes up to 60 times as long when it is slow.
+# Time until an answer begins. The store normally needs 4 ms, and up to 60 times as long when it is
+# slow.
 CALL_TIMEOUT_MS = 1_000.0
 WATCH_TIMEOUT_MARGIN_MS = 500.0
 HISTORY_GONE_STATUS = 410
@@ -118,9 +119,9 @@
     async def _send_get(self, target: str, timeout_ms: Millis) -> RawResponse:
         future: asyncio.Future[RawResponse] = asyncio.get_running_loop().create_future()
 
-        def on_failure(failure: Any, may_have_run: bool) -> None:
+        def fail(reason: str) -> None:
             if not future.done():
-                future.set_exception(StoreError(failure.value, exchange.received_bytes))
+                future.set_exception(StoreError(reason, exchange.received_bytes))
 
         def on_response(response: RawResponse) -> None:
             if not future.done():
@@ -128,14 +129,15 @@
 
         data = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
         exchange = HttpExchange(
-            data, lambda response, require_request_id: True, on_response, on_failure
+            data,
+            lambda response, require_request_id: True,
+            on_response,
+            lambda failure, may_have_run: fail(failure.value),
         )
         self.pool.send(self.address, exchange)
+        call_on_stall(exchange, timeout_ms, lambda: fail("timed_out"))
         try:
-            async with timeout_excluding_pauses(timeout_ms):
-                return await future
-        except TimeoutError:
-            raise StoreError("timed_out", exchange.received_bytes) from None
+            return await future
         finally:
             if not exchange.ended:
                 self.pool.cancel(exchange)
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -19,6 +18,7 @@
     decode_exchange,
     encode_exchange,
 )
+from turmerictiller.transport.stalls import call_on_stall
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -32,7 +32,7 @@
     from turmerictiller.transport.shell import ForwardingShell
 
 EXCHANGE_TARGET = b"/exchange"
-EXCHANGE_TIMEOUT_MS = 800.0  # less than the interval between exchanges
+EXCHANGE_TIMEOUT_MS = 800.0  # until the reply begins; less than the interval between exchanges
 MAX_CONNECTIONS = 256
 # Fits all documents of a deployment: a configuration of up to 1 MB and a few thousand entries.
 MAX_BODY_BYTES = 4_194_304
@@ -92,20 +92,18 @@
             self._on_failure,
         )
         self.pool.send(effect.address, exchange)
-        loop = asyncio.get_running_loop()
-        loop.call_later(EXCHANGE_TIMEOUT_MS / 1000, self._cancel_if_pending, exchange)
+        call_on_stall(exchange, EXCHANGE_TIMEOUT_MS, lambda: self._on_stall(exchange))
 
     def close(self) -> None:
         """Close all connections with other instances."""
         self.listener.close()
         self.pool.close()
 
-    def _cancel_if_pending(self, exchange: HttpExchange) -> None:
-        if not exchange.ended:
-            self.shell.counters["exchanges.timed_out"] += 1
-            fields = {"received_bytes": exchange.received_bytes}
-            self.shell.log.write("exchange_timed_out", fields)
-            self.pool.cancel(exchange)
+    def _on_stall(self, exchange: HttpExchange) -> None:
+        self.shell.counters["exchanges.timed_out"] += 1
+        fields = {"received_bytes": exchange.received_bytes}
+        self.shell.log.write("exchange_timed_out", fields)
+        self.pool.cancel(exchange)
 
     def _on_failure(self, failure: object, may_have_run: bool) -> None:
         self.shell.counters["exchanges.failed"] += 1
