Request documents from one instance at a time

Cause: each exchange, one a second and three at once after urgent news, asked for all that the instance lacked, also while the reply of an earlier exchange with the same documents was arriving. The copies shared the link of the receiver, so that each took several times as long.

Change: an exchange tells that its sender is receiving documents already, and its reply has none then. Instances of the earlier version ignore the new field.

--- a/tests/transport/test_peer_link.py
+++ b/tests/transport/test_peer_link.py
@@ -156,3 +156,16 @@
             await wait_for_version(found, exchanges=1)
 
     asyncio.run(scenario())
+
+
+def test_configuration_that_several_instances_offer_is_sent_once() -> None:
+    """Guards against replies with the same documents that slow each other down."""
+
+    async def scenario() -> None:
+        value = large_configuration(2)
+        async with fleet(3, value) as found:
+            await wait_for_version(found, exchanges=3)
+            sent = sum(item.shell.counters["exchanges.reply_bytes"] for item in found.current)
+            assert sent < 1.1 * len(value)
+
+    asyncio.run(scenario())
--- a/turmerictiller/forwarding/peer_model.py
+++ b/turmerictiller/forwarding/peer_model.py
@@ -75,6 +75,7 @@
     :param revision: revision of the registry up to which the sender has all changes.
     :param read_age_ms: time since the sender's copy of the registry was last current.
     :param follows: whether the sender requests the changes after its revision.
+    :param declines_documents: whether the sender is receiving documents from another instance.
     """
 
     sender: PeerEntry
@@ -89,6 +90,7 @@
     revision: int = 0
     read_age_ms: Millis = math.inf
     follows: bool = False
+    declines_documents: bool = False
 
 
 @dataclass(slots=True)
--- a/turmerictiller/instances.thrift
+++ b/turmerictiller/instances.thrift
@@ -70,4 +70,6 @@
   /** The documents are all changes after this revision and up to that of the sender. */
   15: optional i64 changes_since,
   16: optional list<CrashReport> crash_reports,
+  /** Whether the sender wants no documents now, because another instance is sending them. */
+  17: optional bool declines_documents,
 }
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Protocol
 
 from turmerictiller.errors import FrameError
@@ -60,6 +60,9 @@
 class PeerLink:
     """Server and client of the exchanges with other instances.
 
+    Documents are requested in one exchange at a time. Several instances that send the same large
+    documents would share the link of the receiver, and take several times as long.
+
     :param document_cache: documents to serve to instances that do not read the registry themselves.
     """
 
@@ -67,6 +70,7 @@
     document_cache: DocumentCache
     pool: ConnectionPool = field(init=False)
     listener: HttpListener = field(init=False)
+    _document_exchange: HttpExchange | None = None
 
     def __post_init__(self) -> None:
         self.pool = ConnectionPool(self.shell.clock)
@@ -81,7 +85,8 @@
 
     def send_exchange(self, effect: SendGossip) -> None:
         """Start an exchange with another instance; failures are only counted."""
-        body = encode_exchange(effect.message, self._missing_documents(effect.message))
+        is_receiving = self._document_exchange is not None and not self._document_exchange.ended
+        body = encode_exchange(replace(effect.message, declines_documents=is_receiving))
         head = f"POST {EXCHANGE_TARGET.decode()} HTTP/1.1\r\nHost: {effect.address}\r\n"
         data = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
         sent_at = self.shell.now_ms()
@@ -91,6 +96,8 @@
             lambda response: self._on_answer(response, sent_at),
             self._on_failure,
         )
+        if not is_receiving:
+            self._document_exchange = exchange
         self.pool.send(effect.address, exchange)
         call_on_stall(exchange, EXCHANGE_TIMEOUT_MS, lambda: self._on_stall(exchange))
 
@@ -141,9 +148,9 @@
         return message
 
     def _missing_documents(self, message: GossipMessage) -> Documents:
-        """Return the documents that the sender lacks; none if the sender is this instance."""
+        """Return the documents that the sender of a request lacks."""
         state = self.shell.state
-        if message.sender.id == state.settings.instance_id or state.configuration is None:
+        if message.declines_documents or state.configuration is None:
             return NO_DOCUMENTS
         if message.follows and message.revision <= state.registry_revision:
             changes = self.document_cache.changes_since(message.revision)
--- a/turmerictiller/transport/peer_messages.py
+++ b/turmerictiller/transport/peer_messages.py
@@ -99,6 +99,7 @@
         read_age_ms=_clamp_to_int32(gossip.read_age_ms),
         follows=gossip.follows,
         changes_since=documents.since_revision,
+        declines_documents=gossip.declines_documents,
     )
     buffer = TMemoryBuffer()
     message.write(TBinaryProtocolAccelerated(buffer))
@@ -140,6 +141,7 @@
         check_integer(message.revision or 0, "revision"),
         _decode_age(message.read_age_ms),
         bool(message.follows),
+        bool(message.declines_documents),
     )
     documents = [_decode_document(item) for item in _bounded_list(message.documents, MAX_DOCUMENTS)]
     since_revision = message.changes_since
--- a/turmerictiller/wire/instances/ttypes.py
+++ b/turmerictiller/wire/instances/ttypes.py
@@ -528,6 +528,7 @@
      - follows: Whether the sender wants the changes after its revision.
      - changes_since: The documents are all changes after this revision and up to that of the sender.
      - crash_reports
+     - declines_documents: Whether the sender wants no documents now, because another instance is sending them.
 
     """
 
@@ -547,10 +548,11 @@
         'follows',
         'changes_since',
         'crash_reports',
+        'declines_documents',
     )
 
 
-    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None, contested_servers=None, revision=None, read_age_ms=None, follows=None, changes_since=None, crash_reports=None,):
+    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None, contested_servers=None, revision=None, read_age_ms=None, follows=None, changes_since=None, crash_reports=None, declines_documents=None,):
         self.protocol = protocol
         self.sender = sender
         self.leaving = leaving
@@ -566,6 +568,7 @@
         self.follows = follows
         self.changes_since = changes_since
         self.crash_reports = crash_reports
+        self.declines_documents = declines_documents
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -682,6 +685,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.BOOL:
+                    self.declines_documents = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -767,6 +775,10 @@
                 iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.declines_documents is not None:
+            oprot.writeFieldBegin('declines_documents', TType.BOOL, 17)
+            oprot.writeBool(self.declines_documents)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -846,6 +858,7 @@
     (14, TType.BOOL, 'follows', None, None, ),  # 14
     (15, TType.I64, 'changes_since', None, None, ),  # 15
     (16, TType.LIST, 'crash_reports', (TType.STRUCT, [CrashReport, None], False), None, ),  # 16
+    (17, TType.BOOL, 'declines_documents', None, None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
