Compress documents that are sent to other instances

Cause: three readers of a failure domain send the configuration to all others, so a copy of 0.75 MB takes the link of a reader for 0.6 s at 10 Mbit/s, six times in a row.

Change: a request tells that its sender accepts values in the zlib format, and replies to it compress values of 4 KiB and more. The configuration is compressed once for all receivers. Instances of the earlier version get plain values. The inflated size of a message is bounded.

--- a/tests/transport/test_peer_link.py
+++ b/tests/transport/test_peer_link.py
@@ -169,3 +169,21 @@
             assert sent < 1.1 * len(value)
 
     asyncio.run(scenario())
+
+
+def test_configuration_is_sent_compressed() -> None:
+    """Guards against configurations that take the links of few instances for seconds."""
+
+    async def scenario() -> None:
+        document = configuration(2)
+        one = document["routes"][1]
+        document["routes"] += [
+            {**one, "name": f"r-{os.urandom(4).hex()}", "prefix": f"/{os.urandom(4).hex()}/"}
+            for _ in range(4_000)
+        ]
+        value = orjson.dumps(document)
+        async with fleet(1, value) as found:
+            await wait_for_version(found, exchanges=1)
+            assert found.current[0].shell.counters["exchanges.reply_bytes"] < len(value) / 4
+
+    asyncio.run(scenario())
--- a/turmerictiller/forwarding/peer_model.py
+++ b/turmerictiller/forwarding/peer_model.py
@@ -76,6 +76,7 @@
     :param read_age_ms: time since the sender's copy of the registry was last current.
     :param follows: whether the sender requests the changes after its revision.
     :param declines_documents: whether the sender is receiving documents from another instance.
+    :param accepts_deflated: whether the reply may hold compressed documents.
     """
 
     sender: PeerEntry
@@ -91,6 +92,7 @@
     read_age_ms: Millis = math.inf
     follows: bool = False
     declines_documents: bool = False
+    accepts_deflated: bool = False
 
 
 @dataclass(slots=True)
--- a/turmerictiller/forwarding/peers.py
+++ b/turmerictiller/forwarding/peers.py
@@ -190,4 +190,5 @@
         state.registry_revision,
         state.now - state.registry_read_at,
         state.registry_lost or read_plan(state, state.now) is ReadPlan.FOLLOWER,
+        accepts_deflated=True,
     )
--- a/turmerictiller/instances.thrift
+++ b/turmerictiller/instances.thrift
@@ -31,6 +31,8 @@
   1: string key,
   2: i64 revision,
   3: optional binary value,
+  /** The value in the zlib format, instead of it; only for instances that accept it. */
+  4: optional binary deflated_value,
 }
 
 /** A server with slow answers. */
@@ -72,4 +74,6 @@
   16: optional list<CrashReport> crash_reports,
   /** Whether the sender wants no documents now, because another instance is sending them. */
   17: optional bool declines_documents,
+  /** Whether the reply may hold deflated values. */
+  18: optional bool accepts_deflated,
 }
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -127,7 +127,8 @@
         if message is None:
             connection.answer(encode_response(400, b"Bad Request", [], b"", True), True)
             return
-        body = encode_exchange(answer, self._missing_documents(message))
+        documents = self._missing_documents(message)
+        body = encode_exchange(answer, documents, deflate=message.accepts_deflated)
         self.shell.counters["exchanges.reply_bytes"] += len(body)
         connection.answer(encode_response(200, b"OK", [], body, False), False)
 
--- a/turmerictiller/transport/peer_messages.py
+++ b/turmerictiller/transport/peer_messages.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+import zlib
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import TYPE_CHECKING, Any
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
@@ -33,6 +35,10 @@
 
 MAX_ID_CHARS = 200
 MAX_DOCUMENTS = 4_096
+# Compressing a smaller document saves less than one packet or two.
+MIN_DEFLATED_BYTES = 4_096
+# All compressed documents of an exchange: four times the largest value that the platform stores.
+MAX_INFLATED_BYTES = 4_194_304
 # Ages and counts are 32-bit integers on the wire; larger values are clamped.
 MAX_INT32 = 2**31 - 1
 # Limit the effect of one instance's reports on others to a server that is slow for a few seconds.
@@ -64,8 +70,13 @@
 NO_DOCUMENTS = Documents()
 
 
-def encode_exchange(gossip: GossipMessage, documents: Documents = NO_DOCUMENTS) -> bytes:
-    """Encode the request or reply of an exchange."""
+def encode_exchange(
+    gossip: GossipMessage, documents: Documents = NO_DOCUMENTS, deflate: bool = False
+) -> bytes:
+    """Encode the request or reply of an exchange.
+
+    :param deflate: compress large documents; only for receivers that accept it.
+    """
     message = ttypes.Exchange(
         protocol=constants.PROTOCOL_VERSION,
         sender=_encode_instance(gossip.sender),
@@ -73,10 +84,7 @@
         instances=[_encode_instance(entry) for entry in gossip.entries],
         configuration_version=gossip.version,
         wants_documents=gossip.wants_documents,
-        documents=[
-            ttypes.Document(key=item.key, revision=item.revision, value=item.value)
-            for item in documents.items
-        ],
+        documents=[_encode_document(item, deflate) for item in documents.items],
         slow_servers=[
             ttypes.SlowServer(server_id=item.server_id, weight=item.weight, slowness=item.slowness)
             for item in gossip.slow_servers
@@ -100,6 +108,7 @@
         follows=gossip.follows,
         changes_since=documents.since_revision,
         declines_documents=gossip.declines_documents,
+        accepts_deflated=gossip.accepts_deflated,
     )
     buffer = TMemoryBuffer()
     message.write(TBinaryProtocolAccelerated(buffer))
@@ -142,8 +151,9 @@
         _decode_age(message.read_age_ms),
         bool(message.follows),
         bool(message.declines_documents),
+        bool(message.accepts_deflated),
     )
-    documents = [_decode_document(item) for item in _bounded_list(message.documents, MAX_DOCUMENTS)]
+    documents = _decode_documents(_bounded_list(message.documents, MAX_DOCUMENTS))
     since_revision = message.changes_since
     return gossip, Documents(
         documents,
@@ -208,12 +218,49 @@
     )
 
 
-def _decode_document(item: Any) -> Document:
-    value = item.value
-    if value is not None and not isinstance(value, bytes):
+def _encode_document(item: Document, deflate: bool) -> Any:
+    document = ttypes.Document(key=item.key, revision=item.revision)
+    if deflate and item.value is not None and len(item.value) >= MIN_DEFLATED_BYTES:
+        document.deflated_value = _deflate(item.value)
+    else:
+        document.value = item.value
+    return document
+
+
+# Each instance that is behind gets the same configuration.
+@lru_cache(maxsize=1)
+def _deflate(value: bytes) -> bytes:
+    return zlib.compress(value, zlib.Z_BEST_SPEED)
+
+
+def _decode_documents(items: list[Any]) -> list[Document]:
+    documents = []
+    remaining_bytes = MAX_INFLATED_BYTES
+    for item in items:
+        value = item.value
+        if item.deflated_value is not None:
+            value = _inflate(item.deflated_value, remaining_bytes)
+            remaining_bytes -= len(value)
+        if value is not None and not isinstance(value, bytes):
+            raise FrameError("document value is not binary")
+        key = check_text(item.key, "key", MAX_ID_CHARS)
+        documents.append(Document(key, check_integer(item.revision, "revision"), value))
+    return documents
+
+
+def _inflate(data: Any, max_bytes: int) -> bytes:
+    if not isinstance(data, bytes):
         raise FrameError("document value is not binary")
-    key = check_text(item.key, "key", MAX_ID_CHARS)
-    return Document(key, check_integer(item.revision, "revision"), value)
+    inflater = zlib.decompressobj()
+    try:
+        value = inflater.decompress(data, max_bytes + 1)
+    except zlib.error as error:
+        raise FrameError(f"document value cannot be inflated: {error}") from None
+    if len(value) > max_bytes:
+        raise FrameError("documents are too large")
+    if not inflater.eof:
+        raise FrameError("document value is truncated")
+    return value
 
 
 def _bounded_list(value: Any, max_length: int) -> list[Any]:
--- a/turmerictiller/wire/instances/ttypes.py
+++ b/turmerictiller/wire/instances/ttypes.py
@@ -246,6 +246,7 @@
      - key
      - revision
      - value
+     - deflated_value: The value in the zlib format, instead of it; only for instances that accept it.
 
     """
 
@@ -253,13 +254,15 @@
         'key',
         'revision',
         'value',
+        'deflated_value',
     )
 
 
-    def __init__(self, key=None, revision=None, value=None,):
+    def __init__(self, key=None, revision=None, value=None, deflated_value=None,):
         self.key = key
         self.revision = revision
         self.value = value
+        self.deflated_value = deflated_value
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -285,6 +288,11 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.deflated_value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -307,6 +315,10 @@
             oprot.writeFieldBegin('value', TType.STRING, 3)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
+        if self.deflated_value is not None:
+            oprot.writeFieldBegin('deflated_value', TType.STRING, 4)
+            oprot.writeBinary(self.deflated_value)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -529,6 +541,7 @@
      - changes_since: The documents are all changes after this revision and up to that of the sender.
      - crash_reports
      - declines_documents: Whether the sender wants no documents now, because another instance is sending them.
+     - accepts_deflated: Whether the reply may hold deflated values.
 
     """
 
@@ -549,10 +562,11 @@
         'changes_since',
         'crash_reports',
         'declines_documents',
+        'accepts_deflated',
     )
 
 
-    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None, contested_servers=None, revision=None, read_age_ms=None, follows=None, changes_since=None, crash_reports=None, declines_documents=None,):
+    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None, contested_servers=None, revision=None, read_age_ms=None, follows=None, changes_since=None, crash_reports=None, declines_documents=None, accepts_deflated=None,):
         self.protocol = protocol
         self.sender = sender
         self.leaving = leaving
@@ -569,6 +583,7 @@
         self.changes_since = changes_since
         self.crash_reports = crash_reports
         self.declines_documents = declines_documents
+        self.accepts_deflated = accepts_deflated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -690,6 +705,11 @@
                     self.declines_documents = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.BOOL:
+                    self.accepts_deflated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -779,6 +799,10 @@
             oprot.writeFieldBegin('declines_documents', TType.BOOL, 17)
             oprot.writeBool(self.declines_documents)
             oprot.writeFieldEnd()
+        if self.accepts_deflated is not None:
+            oprot.writeFieldBegin('accepts_deflated', TType.BOOL, 18)
+            oprot.writeBool(self.accepts_deflated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -825,6 +849,7 @@
     (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'deflated_value', 'BINARY', None, ),  # 4
 )
 all_structs.append(SlowServer)
 SlowServer.thrift_spec = (
@@ -859,6 +884,7 @@
     (15, TType.I64, 'changes_since', None, None, ),  # 15
     (16, TType.LIST, 'crash_reports', (TType.STRUCT, [CrashReport, None], False), None, ),  # 16
     (17, TType.BOOL, 'declines_documents', None, None, ),  # 17
+    (18, TType.BOOL, 'accepts_deflated', None, None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
