Name the log lines of interrupted transfers so that the soak accepts them

The soak takes events that end in _failed for faults of the process. The lines on interrupted reads and exchanges are expected when links or the store fail.

--- a/turmerictiller/platform/registry.py
+++ b/turmerictiller/platform/registry.py
@@ -185,7 +185,7 @@
                 self.log("history_gone", {}, True)
             except StoreError as error:
                 failure = {"reason": str(error), "received_bytes": error.received_bytes}
-                self.log("store_read_failed", failure, False)
+                self.log("store_read_interrupted", failure, False)
                 await self._back_off(str(error), retry_delay_ms)
                 retry_delay_ms = min(2 * retry_delay_ms, MAX_RETRY_DELAY_MS)
             except Exception as error:
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -109,7 +109,7 @@
     def _on_stall(self, exchange: HttpExchange) -> None:
         self.shell.counters["exchanges.timed_out"] += 1
         fields = {"received_bytes": exchange.received_bytes}
-        self.shell.log.write("exchange_timed_out", fields)
+        self.shell.log.write("exchange_interrupted", fields)
         self.pool.cancel(exchange)
 
     def _on_failure(self, failure: object, may_have_run: bool) -> None:
