Give up a connection on which whole answers to other requests keep coming

Cause: a response that does not belong to the request is dropped, and the limits on the bytes of an answer start anew with each response. Nothing limited their number, and a read holds up to 256 KiB, or 7,000 small responses, which were parsed before any check. The event loop had no time for anything else.

Change: after four responses to other requests, such as late second answers, the request fails and the connection is closed. A read is parsed in parts of 16 KiB, with the limits checked after each. If bytes follow the response in the same read, the connection is not used again, as before.

--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -18,6 +18,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from standins.endless_answers import FORMS, send_endless_answer
+
 RECORD_BYTES = 16
 RECORDS = 25
 BEHAVIOURS = frozenset(
@@ -42,6 +44,7 @@
         "unsigned",
         "close",
         "slow",
+        *(f"endless_{form}" for form in FORMS),
     }
 )
 # Answers after the request has run, without a header that says otherwise.
@@ -63,6 +66,7 @@
     :param tell_runs: whether executed and shed requests, and answers that announce that the server
         leaves, are logged to standard output.
     :param delayed_answer: bytes that are sent before the next answer.
+    :param endless_bytes: bytes sent in answers without end.
     :param crashes_on: prefix of the paths that crash the server; it restarts after ``RESTART_S``.
     """
 
@@ -88,6 +92,7 @@
     delayed_answer: bytes = b""
     crashes_on: str = ""
     crashes: int = 0
+    endless_bytes: int = 0
     listener: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -253,6 +258,11 @@
         elif behaviour == "close":
             writer.write(_response(200, [*headers, ("Connection", "close")], body))
             return False
+        elif behaviour.startswith("endless_"):
+            head = "".join(f"{name}: {value}\r\n" for name, value in headers).encode()
+            form = behaviour.removeprefix("endless_")
+            self.endless_bytes += await send_endless_answer(writer, form, head)
+            return False
         else:
             writer.write(response)
         return True
@@ -266,6 +276,7 @@
             "ran": self.ran,
             "paths": self.paths_by_request,
             "last_run_at": self.last_run_at,
+            "endless_bytes": self.endless_bytes,
         }
         return json.dumps(state).encode()
 
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -13,11 +13,13 @@
 import pytest
 import uvloop
 
+from standins.endless_answers import FORMS, send_endless_answer
 from turmerictiller.clock import Clock
 from turmerictiller.forwarding.events import FailureKind
 from turmerictiller.platform.http_dialect import matches_request
 from turmerictiller.transport.http_client import (
     CONNECT_TIMEOUT_MS,
+    MAX_ANSWER_BYTES,
     MAX_BUFFERED_BYTES,
     MAX_HEAD_BYTES,
     NOT_ACCEPTED_WINDOW_MS,
@@ -33,6 +35,7 @@
     Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 TEST_TIMEOUT_S = 10.0  # ends a test that hangs; no test relies on it
+READ_BYTES = 262_144  # largest read of an event loop
 
 
 def response(request_id: str, body: bytes = b"hits", extra: bytes = b"") -> bytes:
@@ -474,6 +477,35 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("form", list(FORMS))
+def test_endless_answer_is_given_up_after_bounded_work(form: str) -> None:
+    """Guards against a faulty server that takes the processor time of all other requests."""
+    # One large answer is allowed, and otherwise a head, with what arrives in the last read.
+    has_large_body = form in ("body", "until_close", "chunks")
+    max_bytes = (MAX_ANSWER_BYTES if has_large_body else 4 * MAX_HEAD_BYTES) + 2 * READ_BYTES
+
+    async def send(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        await send_endless_answer(writer, form, b"Request-Id: other\r\nServer-Stamp: s\r\n")
+        writer.close()
+
+    async def scenario() -> None:
+        async with serving(send) as (pool, address):
+            done: asyncio.Future[FailureKind] = asyncio.get_running_loop().create_future()
+            exchange = HttpExchange(
+                b"GET / HTTP/1.1\r\nRequest-Id: r1\r\n\r\n",
+                lambda found, require_request_id: matches_request(found, b"r1", True),
+                lambda response: done.cancel(),
+                lambda failure, may_have_run: done.set_result(failure),
+            )
+            pool.send(address, exchange)
+            assert await done is FailureKind.BAD_ANSWER
+            assert exchange.received_bytes <= max_bytes
+            assert pool.buffered_bytes == 0
+
+    asyncio.run(scenario())
+
+
 def test_memory_stays_flat_over_a_thousand_endless_heads() -> None:
     """Guards against parser buffers of endless answers that are never freed."""
 
--- a/turmerictiller/transport/http_client.py
+++ b/turmerictiller/transport/http_client.py
@@ -42,6 +42,10 @@
 MAX_HEAD_BYTES = 65_536
 # Bytes of chunk framing allowed per body byte; chunks of one byte take 5.
 MAX_FRAMING_PER_BODY_BYTE = 8
+# Responses to other requests that may come before the one to the current request.
+MAX_UNSOLICITED_RESPONSES = 4
+# Limits are checked after each of these parts of a read, which may hold thousands of responses.
+PARSE_BYTES = 16_384
 # Limit on the incomplete answers of a pool. Above it, only small answers may continue.
 MAX_BUFFERED_BYTES = 33_554_432
 SMALL_ANSWER_BYTES = 262_144
@@ -92,6 +96,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._completed_responses: list[RawResponse] = []
         self._is_reusable = True
+        self._unsolicited_responses = 0
+        self._has_unparsed_bytes = False
         self._received_bytes = 0
         self._body_bytes = 0
         self._reset_message()
@@ -130,8 +136,18 @@
             # Unsolicited bytes on an idle connection.
             self.abort()
             return
-        self._received_bytes += len(data)
         self.exchange.received_bytes += len(data)
+        for start in range(0, len(data), PARSE_BYTES):
+            if self.exchange is None:
+                # Unsolicited bytes followed the response.
+                self.abort()
+                return
+            end = start + PARSE_BYTES
+            self._has_unparsed_bytes = end < len(data)
+            self._parse(data[start:end])
+
+    def _parse(self, data: bytes) -> None:
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
             self._check_framing()
@@ -141,6 +157,8 @@
                 return
             self._is_reusable = False
         self._deliver_responses()
+        if self._unsolicited_responses > MAX_UNSOLICITED_RESPONSES:
+            self._fail(FailureKind.BAD_ANSWER)
 
     def _check_framing(self) -> None:
         """Limit the bytes outside the body, which the parser may buffer."""
@@ -232,10 +250,11 @@
         for response in completed:
             if exchange is None or exchange.ended or not self._is_response_to(exchange, response):
                 self._is_reusable = False
+                self._unsolicited_responses += 1
                 continue
             self.exchange = None
             exchange.ended = True
-            if len(completed) > 1 or self._is_in_message:
+            if len(completed) > 1 or self._is_in_message or self._has_unparsed_bytes:
                 self._is_reusable = False
             self._return_to_pool()
             exchange.on_response(response)
