Limit the chunk framing of answers by their size

Cause: each chunk costs processor time, and an answer was allowed 8 bytes of framing for each byte of its body. An answer of chunks of one byte was parsed up to the limit of the body, 8 MiB, which is 50 MB on the connection and 8 million calls of the parser.

Change: beyond the 64 KiB that heads and framing may take in any case, an answer has at most one byte of framing for eight of its body. Chunks of 48 bytes and more are within that up to any size, smaller ones up to bodies of 16 KiB and more.

--- a/turmerictiller/transport/http_client.py
+++ b/turmerictiller/transport/http_client.py
@@ -40,8 +40,9 @@
 # Limit on bytes outside the body: head, interim responses and trailers. Servers and proxies usually
 # allow less.
 MAX_HEAD_BYTES = 65_536
-# Bytes of chunk framing allowed per body byte; chunks of one byte take 5.
-MAX_FRAMING_PER_BODY_BYTE = 8
+# A body may have one byte of chunk framing for this many bytes. Each chunk costs processor time,
+# and chunks of a few bytes would make a large answer many times as expensive.
+BODY_BYTES_PER_FRAMING_BYTE = 8
 # Responses to other requests that may come before the one to the current request.
 MAX_UNSOLICITED_RESPONSES = 4
 # Limits are checked after each of these parts of a read, which may hold thousands of responses.
@@ -163,7 +164,7 @@
     def _check_framing(self) -> None:
         """Limit the bytes outside the body, which the parser may buffer."""
         framing = self._received_bytes - self._body_bytes
-        if framing > MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes:
+        if framing > MAX_HEAD_BYTES + self._body_bytes // BODY_BYTES_PER_FRAMING_BYTE:
             raise _AnswerTooLargeError
 
     def connection_lost(self, exc: Exception | None) -> None:
