Bound incomplete small answers of all servers together

Answers of up to 256 KiB could continue whatever the others took, so that servers of many shards which begin such answers at the same time fill the memory of the process: 650 of them take 166 MB, where the smallest machine has 160 MB.

Change: above 48 MiB of incomplete answers, only those of up to 16 KiB continue.

Evidence: test_total_size_of_many_small_answers_is_bounded exceeded the bound without the second limit and passes now; a usual answer is still received then.

--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -21,8 +21,10 @@
     CONNECT_TIMEOUT_MS,
     MAX_ANSWER_BYTES,
     MAX_BUFFERED_BYTES,
+    MAX_BUFFERED_SMALL_BYTES,
     MAX_HEAD_BYTES,
     NOT_ACCEPTED_WINDOW_MS,
+    SMALL_ANSWER_BYTES,
     ConnectionPool,
     HttpExchange,
 )
@@ -543,6 +545,46 @@
     asyncio.run(scenario())
 
 
+def test_total_size_of_many_small_answers_is_bounded() -> None:
+    """Guards against memory exhaustion by servers that all begin answers of moderate size."""
+    max_bytes = MAX_BUFFERED_SMALL_BYTES + 2 * SMALL_ANSWER_BYTES
+
+    async def send_most(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        name = await read_request(reader)
+        if name == "last":
+            writer.write(response(name))
+        else:
+            length = SMALL_ANSWER_BYTES
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length)
+            writer.write(b"b" * (length - 1))
+        with suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+
+    async def scenario() -> None:
+        async with serving(send_most) as (pool, address):
+            failures: list[FailureKind] = []
+            exchanges: list[HttpExchange] = []
+            for number in range(max_bytes // SMALL_ANSWER_BYTES + 40):
+                exchange = HttpExchange(
+                    f"GET / HTTP/1.1\r\nRequest-Id: r{number}\r\n\r\n".encode(),
+                    lambda found, require_request_id: True,
+                    lambda found: None,
+                    lambda failure, may_have_run: failures.append(failure),
+                )
+                exchanges.append(exchange)
+                pool.send(address, exchange)
+                await asyncio.sleep(0.005)
+                assert pool.buffered_bytes <= max_bytes
+            assert FailureKind.BAD_ANSWER in failures
+            assert expect_body(await send_request(pool, address, "last")) == b"hits"
+            for exchange in exchanges:
+                pool.cancel(exchange)
+            assert pool.buffered_bytes == 0
+
+    asyncio.run(scenario())
+
+
 def test_total_size_of_large_answers_is_bounded_while_small_ones_complete() -> None:
     """Guards against memory exhaustion by many answers that are each within the limit."""
 
--- a/turmerictiller/transport/http_client.py
+++ b/turmerictiller/transport/http_client.py
@@ -47,9 +47,12 @@
 MAX_UNSOLICITED_RESPONSES = 4
 # Limits are checked after each of these parts of a read, which may hold thousands of responses.
 PARSE_BYTES = 16_384
-# Limit on the incomplete answers of a pool. Above it, only small answers may continue.
+# Limits on the incomplete answers of a pool. Above the first, only answers up to the next size may
+# continue. The smallest size fits thousands of answers into the memory of a small instance.
 MAX_BUFFERED_BYTES = 33_554_432
 SMALL_ANSWER_BYTES = 262_144
+MAX_BUFFERED_SMALL_BYTES = 50_331_648
+MINIMAL_ANSWER_BYTES = 16_384
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
@@ -217,10 +220,7 @@
         self._body += body
         self._body_bytes += len(body)
         self.pool.buffered_bytes += len(body)
-        is_small_body = self._body_bytes <= SMALL_ANSWER_BYTES
-        if self._body_bytes > MAX_ANSWER_BYTES or (
-            self.pool.buffered_bytes > MAX_BUFFERED_BYTES and not is_small_body
-        ):
+        if self._body_bytes > self.pool.max_answer_bytes:
             raise _AnswerTooLargeError
 
     def on_message_complete(self) -> None:
@@ -320,6 +320,15 @@
         loop = asyncio.get_running_loop()
         exchange.opening_task = loop.create_task(self._open(address, exchange))
 
+    @property
+    def max_answer_bytes(self) -> int:
+        """Largest body that may continue, given the incomplete answers of all connections."""
+        if self.buffered_bytes > MAX_BUFFERED_SMALL_BYTES:
+            return MINIMAL_ANSWER_BYTES
+        if self.buffered_bytes > MAX_BUFFERED_BYTES:
+            return SMALL_ANSWER_BYTES
+        return MAX_ANSWER_BYTES
+
     async def probe(self, address: str) -> FailureKind | None:
         """Open a connection and add it to the pool; return the failure, if any."""
         connection = await self._connect(address)
