--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -25,6 +25,7 @@
 class Deployment:
     """All processes and proxies of one run.
 
+    :param extra_routes: routes of the configuration beside those that callers use.
     :param drained_at_by_id: wall time at which a draining entry was acknowledged.
     :param servers: processes by server id.
     :param leaving_ids: servers that announce in their answers that they leave.
@@ -38,6 +39,7 @@
     rng: random.Random
     results: SoakResults = field(default_factory=SoakResults)
     version: int = 1
+    extra_routes: int = 0
     instances: list[ManagedProcess] = field(default_factory=list)
     servers: dict[str, ManagedProcess] = field(default_factory=dict)
     server_models_by_id: dict[str, ShardServer] = field(default_factory=dict)
@@ -129,6 +131,11 @@
     async def publish_configuration(self, shards: int) -> None:
         """Publish the next configuration version with the given number of shards."""
         document = configuration(self.version, shards)
+        single = document["routes"][1]
+        document["routes"] += [
+            {**single, "name": f"r{number}", "prefix": f"/r{number}/"}
+            for number in range(self.extra_routes)
+        ]
         self.version += 1
         await self._put("/control/item?key=op/config", document)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from soak.deployment import SHARDS
+from standins.endless_answers import FORMS
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -18,6 +19,7 @@
 # Recovery bound in the settings: other bounds hold again this long after connections went silent.
 RECOVERY_BOUND_S = 4.0
 SERVER_BEHAVIOURS = ("shed", "errors", "truncate", "extra", "late_extra", "unframed_reset", "lost")
+MAX_EXTRA_ROUTES = 4_000  # 0.7 MB
 PROXY_MODES = ("delay", "silent", "cut_back", "refuse")
 STORE_MODES = ("busy", "silent", "reset")
 
@@ -94,6 +96,23 @@
     await run.set_behaviour(server_id, {"behaviour": "ok"})
 
 
+async def inject_endless_answers(run: Deployment) -> None:
+    """Make a server send some of its answers without end."""
+    server_id = run.rng.choice(list(run.servers))
+    form = run.rng.choice(sorted(FORMS))
+    await run.set_behaviour(server_id, {"behaviour": f"endless_{form}", "share": 0.3})
+    await asyncio.sleep(run.rng.uniform(0.3, 2))
+    await run.set_behaviour(server_id, {"behaviour": "ok"})
+
+
+async def grow_configuration(run: Deployment) -> None:
+    """Publish configurations with many more routes, one right after the other."""
+    for _ in range(run.rng.randint(1, 3)):
+        run.extra_routes = run.rng.randint(0, MAX_EXTRA_ROUTES)
+        await run.publish_configuration(run.rng.choice((SHARDS - 1, SHARDS)))
+        await asyncio.sleep(run.rng.uniform(0, 0.5))
+
+
 async def inject_link_fault(run: Deployment) -> None:
     """Inject a fault into the connections to some servers."""
     chosen = run.rng.sample(list(run.proxies_by_id.values()), run.rng.randint(1, 5))
@@ -195,10 +214,12 @@
 )
 # Seeds up to 91015 were run with this list.
 FAULTS_V2 = (*FAULTS_V1, inject_store_link_fault, silence_store_connections)
-FAULTS = (
+# Seeds up to 95005 were run with this list.
+FAULTS_V3 = (
     *FAULTS_V2,
     shed_with_retry_after,
     shed_with_retry_after,
     drain_server_by_answers,
     drain_server_by_answers,
 )
+FAULTS = (*FAULTS_V3, inject_endless_answers, inject_endless_answers, grow_configuration)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,10 @@
     FAULTS_V1,
     FAULTS_V2,
     drain_server_by_answers,
+    grow_configuration,
+    inject_endless_answers,
     kill_instance,
+    reset_links,
     shed_with_retry_after,
 )
 from soak.run import soak
@@ -28,7 +31,13 @@
     *(drain_server_by_answers,) * 4,
     kill_instance,
 )
-# Seeds 1 to 3 are the regular ones of CI. The others are regression tests:
+TRANSFER_FAULTS = (
+    *(inject_endless_answers,) * 3,
+    *(grow_configuration,) * 2,
+    kill_instance,
+    reset_links,
+)
+# Seeds 1 to 4 are the regular ones of CI. The others are regression tests:
 # 300: two faults started the same instance concurrently, a defect of the soak test itself;
 # 306: an instance that had just started used a server that had been draining for four seconds.
 SEEDS = (
@@ -37,6 +46,7 @@
     (306, FAULTS_V1),
     (2, FAULTS_V2),
     (3, ANNOUNCEMENT_FAULTS),
+    (4, TRANSFER_FAULTS),
 )
 
 
