Accept small changes while a large document is being received

What callers would see: requests to servers that drain, for as long as the transfer of a configuration takes on a small link.

Cause: an instance that was receiving documents declined all others, so that news about servers waited for the end of the transfer.

Change: it declines large documents only. Changes of less than 4 KiB, which all entries of servers are, are sent, without the claim that they are complete; if nothing large is missing, the reply is complete as usual, so that the age of the data is known.

Evidence: test_small_changes_arrive_while_a_large_document_is_transferred.

--- a/tests/transport/test_peer_link.py
+++ b/tests/transport/test_peer_link.py
@@ -11,10 +11,12 @@
 
 import orjson
 
+from standins.shard_server import ShardServer
 from tests.platform.serving import configuration, free_ports
 from tests.slow_link import SlowLink
 from turmerictiller.clock import Clock
 from turmerictiller.forwarding.effects import SendGossip
+from turmerictiller.forwarding.events import RegistryLost
 from turmerictiller.forwarding.peers import GOSSIP_INTERVAL_MS, build_gossip
 from turmerictiller.forwarding.readers import ReadPlan
 from turmerictiller.forwarding.settings import ForwardingSettings
@@ -187,3 +189,29 @@
             assert found.current[0].shell.counters["exchanges.reply_bytes"] < len(value) / 4
 
     asyncio.run(scenario())
+
+
+def test_small_changes_arrive_while_a_large_document_is_transferred() -> None:
+    """Guards against requests to servers that drain while a configuration takes seconds."""
+    entry = orjson.dumps(ShardServer("a", "s0", "127.0.0.1:9", draining=True).entry())
+
+    async def scenario() -> None:
+        value = large_configuration(2)
+        async with fleet(2, value) as found:
+            late = found.late
+            for instance in (late, *found.current):
+                instance.registry._advance_revision(1, 0.0)
+            other = found.current[1].registry
+            other.complete_since_revision = 1
+            other._on_change(StoreItem("servers/a", 3, entry))
+            late.shell.dispatch(RegistryLost(late.shell.now_ms(), "test"))
+            late.exchange_with(found.addresses[0])
+            await asyncio.sleep(0.1)
+            late.exchange_with(found.addresses[1])
+            async with asyncio.timeout(1):
+                while "servers/a" not in late.registry.items_by_key:
+                    await asyncio.sleep(0.02)
+            assert late.version == 1
+            assert found.current[1].shell.counters["exchanges.reply_bytes"] < 2_000
+
+    asyncio.run(scenario())
--- a/turmerictiller/forwarding/peer_model.py
+++ b/turmerictiller/forwarding/peer_model.py
@@ -75,7 +75,8 @@
     :param revision: revision of the registry up to which the sender has all changes.
     :param read_age_ms: time since the sender's copy of the registry was last current.
     :param follows: whether the sender requests the changes after its revision.
-    :param declines_documents: whether the sender is receiving documents from another instance.
+    :param declines_large_documents: whether the sender wants only small changes, because it is
+        receiving documents from another instance.
     :param accepts_deflated: whether the reply may hold compressed documents.
     """
 
@@ -91,7 +92,7 @@
     revision: int = 0
     read_age_ms: Millis = math.inf
     follows: bool = False
-    declines_documents: bool = False
+    declines_large_documents: bool = False
     accepts_deflated: bool = False
 
 
--- a/turmerictiller/instances.thrift
+++ b/turmerictiller/instances.thrift
@@ -72,8 +72,8 @@
   /** The documents are all changes after this revision and up to that of the sender. */
   15: optional i64 changes_since,
   16: optional list<CrashReport> crash_reports,
-  /** Whether the sender wants no documents now, because another instance is sending them. */
-  17: optional bool declines_documents,
+  /** Whether the sender wants only small changes now, because another instance is sending the others. */
+  17: optional bool declines_large_documents,
   /** Whether the reply may hold deflated values. */
   18: optional bool accepts_deflated,
 }
--- a/turmerictiller/transport/peer_link.py
+++ b/turmerictiller/transport/peer_link.py
@@ -36,6 +36,8 @@
 MAX_CONNECTIONS = 256
 # Fits all documents of a deployment: a configuration of up to 1 MB and a few thousand entries.
 MAX_BODY_BYTES = 4_194_304
+# Entries of servers are smaller; they are accepted also while a large document arrives.
+LARGE_DOCUMENT_BYTES = 4_096
 
 
 class DocumentCache(Protocol):
@@ -60,8 +62,8 @@
 class PeerLink:
     """Server and client of the exchanges with other instances.
 
-    Documents are requested in one exchange at a time. Several instances that send the same large
-    documents would share the link of the receiver, and take several times as long.
+    Large documents are requested in one exchange at a time. Several instances that send the same
+    ones would share the link of the receiver, and take several times as long.
 
     :param document_cache: documents to serve to instances that do not read the registry themselves.
     """
@@ -86,7 +88,7 @@
     def send_exchange(self, effect: SendGossip) -> None:
         """Start an exchange with another instance; failures are only counted."""
         is_receiving = self._document_exchange is not None and not self._document_exchange.ended
-        body = encode_exchange(replace(effect.message, declines_documents=is_receiving))
+        body = encode_exchange(replace(effect.message, declines_large_documents=is_receiving))
         head = f"POST {EXCHANGE_TARGET.decode()} HTTP/1.1\r\nHost: {effect.address}\r\n"
         data = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
         sent_at = self.shell.now_ms()
@@ -149,9 +151,18 @@
         return message
 
     def _missing_documents(self, message: GossipMessage) -> Documents:
-        """Return the documents that the sender of a request lacks."""
+        """Return the documents that the sender of a request lacks and accepts."""
+        documents = self._newer_documents(message)
+        if not message.declines_large_documents:
+            return documents
+        if documents.since_revision is None:
+            return NO_DOCUMENTS
+        small = [item for item in documents.items if len(item.value or b"") < LARGE_DOCUMENT_BYTES]
+        return documents if len(small) == len(documents.items) else Documents(small)
+
+    def _newer_documents(self, message: GossipMessage) -> Documents:
         state = self.shell.state
-        if message.declines_documents or state.configuration is None:
+        if state.configuration is None:
             return NO_DOCUMENTS
         if message.follows and message.revision <= state.registry_revision:
             changes = self.document_cache.changes_since(message.revision)
--- a/turmerictiller/transport/peer_messages.py
+++ b/turmerictiller/transport/peer_messages.py
@@ -107,7 +107,7 @@
         read_age_ms=_clamp_to_int32(gossip.read_age_ms),
         follows=gossip.follows,
         changes_since=documents.since_revision,
-        declines_documents=gossip.declines_documents,
+        declines_large_documents=gossip.declines_large_documents,
         accepts_deflated=gossip.accepts_deflated,
     )
     buffer = TMemoryBuffer()
@@ -150,7 +150,7 @@
         check_integer(message.revision or 0, "revision"),
         _decode_age(message.read_age_ms),
         bool(message.follows),
-        bool(message.declines_documents),
+        bool(message.declines_large_documents),
         bool(message.accepts_deflated),
     )
     documents = _decode_documents(_bounded_list(message.documents, MAX_DOCUMENTS))
--- a/turmerictiller/wire/instances/ttypes.py
+++ b/turmerictiller/wire/instances/ttypes.py
@@ -540,7 +540,7 @@
      - follows: Whether the sender wants the changes after its revision.
      - changes_since: The documents are all changes after this revision and up to that of the sender.
      - crash_reports
-     - declines_documents: Whether the sender wants no documents now, because another instance is sending them.
+     - declines_large_documents: Whether the sender wants only small changes now, because another instance is sending the others.
      - accepts_deflated: Whether the reply may hold deflated values.
 
     """
@@ -561,12 +561,12 @@
         'follows',
         'changes_since',
         'crash_reports',
-        'declines_documents',
+        'declines_large_documents',
         'accepts_deflated',
     )
 
 
-    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None, contested_servers=None, revision=None, read_age_ms=None, follows=None, changes_since=None, crash_reports=None, declines_documents=None, accepts_deflated=None,):
+    def __init__(self, protocol=None, sender=None, leaving=None, instances=None, configuration_version=None, wants_documents=None, documents=None, slow_servers=None, live_instances=None, contested_servers=None, revision=None, read_age_ms=None, follows=None, changes_since=None, crash_reports=None, declines_large_documents=None, accepts_deflated=None,):
         self.protocol = protocol
         self.sender = sender
         self.leaving = leaving
@@ -582,7 +582,7 @@
         self.follows = follows
         self.changes_since = changes_since
         self.crash_reports = crash_reports
-        self.declines_documents = declines_documents
+        self.declines_large_documents = declines_large_documents
         self.accepts_deflated = accepts_deflated
 
     def read(self, iprot):
@@ -702,7 +702,7 @@
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.BOOL:
-                    self.declines_documents = iprot.readBool()
+                    self.declines_large_documents = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
@@ -795,9 +795,9 @@
                 iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.declines_documents is not None:
-            oprot.writeFieldBegin('declines_documents', TType.BOOL, 17)
-            oprot.writeBool(self.declines_documents)
+        if self.declines_large_documents is not None:
+            oprot.writeFieldBegin('declines_large_documents', TType.BOOL, 17)
+            oprot.writeBool(self.declines_large_documents)
             oprot.writeFieldEnd()
         if self.accepts_deflated is not None:
             oprot.writeFieldBegin('accepts_deflated', TType.BOOL, 18)
@@ -883,7 +883,7 @@
     (14, TType.BOOL, 'follows', None, None, ),  # 14
     (15, TType.I64, 'changes_since', None, None, ),  # 15
     (16, TType.LIST, 'crash_reports', (TType.STRUCT, [CrashReport, None], False), None, ),  # 16
-    (17, TType.BOOL, 'declines_documents', None, None, ),  # 17
+    (17, TType.BOOL, 'declines_large_documents', None, None, ),  # 17
     (18, TType.BOOL, 'accepts_deflated', None, None, ),  # 18
 )
 fix_spec(all_structs)
