Read answers of upstreams in small parts at the own interface

Cause: a read returns up to 256 KiB, which hold thousands of messages or chunks. The parser handles all of them before the event loop runs anything else, and four calls at a time add up.

Change: connections to upstreams have a small receive buffer, so that a read returns a few kilobytes.

--- a/turmerictiller/borders/upstreams/client.py
+++ b/turmerictiller/borders/upstreams/client.py
@@ -11,6 +11,7 @@
 import orjson
 
 from turmerictiller.borders.upstreams.connection_pool import ConnectionPools
+from turmerictiller.borders.upstreams.sockets import new_socket
 from turmerictiller.core.events import (
     AttemptAnswered,
     AttemptFailed,
@@ -61,7 +62,7 @@
         # Health polls, non-idempotent requests and searches that follow unanswered calls open a new
         # connection each, because a pooled one may be half-open.
         self._fresh_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+            connector=aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=new_socket)
         )
 
     def send_search(self, effect: SendSearch) -> None:
--- a/turmerictiller/borders/upstreams/connection_pool.py
+++ b/turmerictiller/borders/upstreams/connection_pool.py
@@ -9,6 +9,8 @@
 
 import aiohttp
 
+from turmerictiller.borders.upstreams.sockets import new_socket
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -40,7 +42,9 @@
         """Provide the session of an address for one request."""
         pool = self._by_address.get(address)
         if pool is None:
-            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=KEEPALIVE_S, socket_factory=new_socket
+            )
             pool = _Pool(aiohttp.ClientSession(connector=connector))
             self._by_address[address] = pool
         pool.in_flight += 1
